Lay out the modules, base types and checks

Cause: the repository was empty. Change: four Maven modules whose order is the dependency direction (model, coordination, policy, app), ids as value classes, clock, sealed outcomes, events, settings and configuration with validation, formatter and linter.

--- /dev/null
+++ b/model/src/main/kotlin/io/monsoonpath/model/Documents.kt
@@ -0,0 +1,93 @@
+package io.monsoonpath.model
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** The JSON form of all documents: strict about unknown fields, all values written out. */
+@OptIn(ExperimentalSerializationApi::class)
+val DocumentJson: Json =
+    Json {
+        prettyPrint = true
+        prettyPrintIndent = "  "
+        encodeDefaults = true
+        explicitNulls = false
+    }
+
+/** Reads a configuration document from [text]; it is valid only as a whole. */
+fun readConfiguration(text: String): Reading<Configuration> = readDocument(text, Configuration.serializer(), Configuration::validate)
+
+/** Reads the settings of an instance from [text]. */
+fun readSettings(text: String): Reading<Settings> = readDocument(text, Settings.serializer(), Settings::validate)
+
+/** Reads an instance list from [text]. */
+fun readInstanceList(text: String): Reading<InstanceList> = readDocument(text, InstanceList.serializer(), InstanceList::validate)
+
+private fun <T> readDocument(
+    text: String,
+    serializer: KSerializer<T>,
+    validate: (T) -> Reading<T>,
+): Reading<T> {
+    if (text.length > MAX_DOCUMENT_CHARS) return invalid("$", "${text.length} characters", "must have at most $MAX_DOCUMENT_CHARS")
+    depthProblem(text)?.let { return Reading.Invalid(listOf(it)) }
+    return try {
+        validate(DocumentJson.decodeFromString(serializer, text))
+    } catch (e: SerializationException) {
+        Reading.Invalid(listOf(e.toProblem()))
+    } catch (e: IllegalArgumentException) {
+        Reading.Invalid(listOf(e.toProblem()))
+    }
+}
+
+private fun invalid(
+    path: String,
+    value: String,
+    rule: String,
+) = Reading.Invalid(listOf(Problem(path, value, rule)))
+
+/** Bounds the nesting before parsing, because the parser recurses once a level. */
+private fun depthProblem(text: String): Problem? {
+    var depth = 0
+    var inString = false
+    var escaped = false
+    for (c in text) {
+        when {
+            escaped -> escaped = false
+            inString && c == '\\' -> escaped = true
+            c == '"' -> inString = !inString
+            inString -> Unit
+            c == '{' || c == '[' -> depth++
+            c == '}' || c == ']' -> depth--
+        }
+        if (depth > MAX_DEPTH) return Problem("$", "nesting", "must be at most $MAX_DEPTH levels deep")
+    }
+    return null
+}
+
+/** Turns the parser's message into a problem: its path, and its first line as value and rule. */
+private fun Exception.toProblem(): Problem {
+    val message = message.orEmpty()
+    val path =
+        Regex("at path:? (\\$\\S*)")
+            .find(message)
+            ?.groupValues
+            ?.get(1)
+            ?.trimEnd(':', ',', '.') ?: "$"
+    val quoted =
+        Regex("(?:key|fields?|literal|with name|name) '([^']*)'")
+            .find(message)
+            ?.groupValues
+            ?.get(1)
+            .orEmpty()
+    val rule =
+        message
+            .lineSequence()
+            .first()
+            .substringBefore(" at path")
+            .trim()
+    return Problem(path, quoted.ifEmpty { "document" }, rule.ifEmpty { "must be valid JSON" })
+}
+
+private const val MAX_DOCUMENT_CHARS = 64 * 1_048_576
+private const val MAX_DEPTH = 32
