--- a/app/src/main/kotlin/io/monsoonpath/app/Main.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/Main.kt
@@ -1,5 +1,7 @@
 package io.monsoonpath.app
 
+import io.monsoonpath.app.command.CheckCommand
+import io.monsoonpath.app.command.ConfigCommand
 import io.monsoonpath.app.command.DemoCommand
 import io.monsoonpath.app.command.ServeCommand
 import kotlinx.cli.ArgParser
@@ -9,6 +11,12 @@
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     val parser = ArgParser("monsoonpath")
-    parser.subcommands(ServeCommand(), DemoCommand())
-    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+    parser.subcommands(ServeCommand(), CheckCommand(), ConfigCommand(), DemoCommand())
+    parser.parse(args.orHelp())
+}
+
+/** Asks for help where the arguments stop short of a command. */
+private fun Array<String>.orHelp(): Array<String> {
+    val isIncomplete = isEmpty() || (first() == "config" && (size == 1 || (size == 2 && last() != "diff")))
+    return if (isIncomplete) this + "--help" else this
 }
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/ConfigCommand.kt
@@ -0,0 +1,134 @@
+package io.monsoonpath.app.command
+
+import io.monsoonpath.app.edit.Edit
+import io.monsoonpath.app.edit.apply
+import io.monsoonpath.app.edit.differences
+import io.monsoonpath.app.edit.issueKey
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.KeyId
+import io.monsoonpath.model.WorkspaceId
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import java.io.File
+import java.security.SecureRandom
+
+/** Edits configuration documents; publishing them is the platform's business. */
+@OptIn(ExperimentalCli::class)
+internal class ConfigCommand : Subcommand("config", "Edit a configuration document") {
+    init {
+        subcommands(
+            CommandGroup("key", "Issue or withdraw keys", KeyIssueCommand(), KeyWithdrawCommand()),
+            CommandGroup(
+                "domain",
+                "Take failure domains out of service or back in",
+                editCommand("out", "Take a failure domain out", "failure domain") { Edit.SetDomainOut(FailureDomain(it), out = true) },
+                editCommand("in", "Take a failure domain back in", "failure domain") { Edit.SetDomainOut(FailureDomain(it), out = false) },
+            ),
+            CommandGroup(
+                "instance",
+                "Take entry instances out of service or back in",
+                editCommand("out", "Take an entry instance out", "instance") { Edit.SetInstanceOut(InstanceId(it), out = true) },
+                editCommand("in", "Take an entry instance back in", "instance") { Edit.SetInstanceOut(InstanceId(it), out = false) },
+            ),
+            CommandGroup(
+                "backend",
+                "Let backend servers leave or return",
+                editCommand("leave", "Let a backend server leave", "backend") { Edit.SetBackendLeaving(BackendId(it), leaving = true) },
+                editCommand("return", "Let a backend server return", "backend") { Edit.SetBackendLeaving(BackendId(it), leaving = false) },
+            ),
+            CommandGroup("workspace", "Change workspaces", WorkspaceSetCommand()),
+            DiffCommand(),
+        )
+    }
+
+    override fun execute() = Unit
+}
+
+/** A command that only groups others. */
+@OptIn(ExperimentalCli::class)
+private class CommandGroup(
+    name: String,
+    description: String,
+    vararg commands: Subcommand,
+) : Subcommand(name, description) {
+    init {
+        commands.forEach { subcommands(it) }
+    }
+
+    override fun execute() = Unit
+}
+
+/** A command that applies one edit to a document and prints the new one. */
+@OptIn(ExperimentalCli::class)
+private abstract class EditCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    protected val file by argument(ArgType.String, description = "Configuration in JSON")
+    private val output by option(ArgType.String, fullName = "output", shortName = "o", description = "Where to write the new document")
+    private val force by option(ArgType.Boolean, fullName = "force", description = "Take the last one out all the same").default(false)
+
+    protected fun write(edit: Edit) {
+        val text = loadConfiguration(file).apply(edit, force).orFail(file).toText()
+        output?.let { writeText(File(it), text) } ?: print(text)
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private fun editCommand(
+    name: String,
+    description: String,
+    subject: String,
+    edit: (String) -> Edit,
+): Subcommand =
+    object : EditCommand(name, description) {
+        private val id by argument(ArgType.String, fullName = subject.replace(' ', '-'), description = "The $subject's id")
+
+        override fun execute() = write(edit(id))
+    }
+
+@OptIn(ExperimentalCli::class)
+private class KeyIssueCommand : EditCommand("issue", "Issue a key; it is printed once, to standard error") {
+    private val workspace by argument(ArgType.String, description = "The workspace that the key acts for")
+
+    override fun execute() {
+        val key = issueKey(WorkspaceId(workspace), SecureRandom())
+        write(Edit.IssueKey(key.spec))
+        System.err.println("Key ${key.spec.id} of workspace $workspace, shown only here: ${key.secret}")
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class KeyWithdrawCommand : EditCommand("withdraw", "Withdraw a key") {
+    private val key by argument(ArgType.String, description = "The key's id")
+
+    override fun execute() = write(Edit.WithdrawKey(KeyId(key)))
+}
+
+@OptIn(ExperimentalCli::class)
+private class WorkspaceSetCommand : EditCommand("set", "Change a workspace, or add one") {
+    private val workspace by argument(ArgType.String, description = "The workspace's id")
+    private val rateMilliPerS by option(ArgType.Int, fullName = "rateMilliPerS", description = "Requests per 1,000 seconds")
+    private val burst by option(ArgType.Int, fullName = "burst", description = "Requests that may come at once")
+    private val weight by option(ArgType.Int, fullName = "weight", description = "Share of contended capacity")
+    private val priority by option(ArgType.Int, fullName = "priority", description = "0 goes first, 9 last")
+    private val maxRunning by option(ArgType.Int, fullName = "maxRunning", description = "Requests that may run at once")
+
+    override fun execute() = write(Edit.SetWorkspace(WorkspaceId(workspace), rateMilliPerS?.toLong(), burst, weight, priority, maxRunning))
+}
+
+@OptIn(ExperimentalCli::class)
+private class DiffCommand : Subcommand("diff", "Print what differs between two documents") {
+    private val before by argument(ArgType.String, description = "The older document")
+    private val after by argument(ArgType.String, description = "The newer document")
+
+    override fun execute() {
+        val lines = differences(loadConfiguration(before), loadConfiguration(after))
+        if (lines.isEmpty()) println("No differences.")
+        lines.forEach(::println)
+    }
+}
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/Files.kt
@@ -0,0 +1,54 @@
+package io.monsoonpath.app.command
+
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.Settings
+import io.monsoonpath.model.readConfiguration
+import io.monsoonpath.model.readSettings
+import java.io.File
+import java.io.IOException
+import kotlin.system.exitProcess
+
+/** The exit code for bad arguments, settings or documents. */
+internal const val EXIT_BAD_INPUT = 2
+
+/** Reads settings from [file], or ends the process with [EXIT_BAD_INPUT] and one line for each problem. */
+internal fun loadSettings(file: String): Settings = readSettings(readText(file)).orFail(file)
+
+/** Reads a configuration from [file], or ends the process with [EXIT_BAD_INPUT] and one line for each problem. */
+internal fun loadConfiguration(file: String): Configuration = readConfiguration(readText(file)).orFail(file)
+
+/** Returns the text of [file], or ends the process with [EXIT_BAD_INPUT]. */
+internal fun readText(file: String): String =
+    try {
+        File(file).readText()
+    } catch (e: IOException) {
+        fail("$file: cannot be read: ${e.message}")
+    }
+
+/** Writes [text] to [file], or ends the process with [EXIT_BAD_INPUT]. */
+internal fun writeText(
+    file: File,
+    text: String,
+) = try {
+    file.writeText(text)
+} catch (e: IOException) {
+    fail("$file: cannot be written: ${e.message}")
+}
+
+/** Returns the document, or ends the process with one line for each problem. */
+internal fun <T> Reading<T>.orFail(source: String): T =
+    when (this) {
+        is Reading.Valid -> document
+        is Reading.Invalid -> fail(problems.joinToString("\n") { "$source: $it" })
+    }
+
+/** Returns the document as it is published. */
+internal fun Configuration.toText(): String = DocumentJson.encodeToString(Configuration.serializer(), this) + "\n"
+
+/** Prints [message] to standard error and ends the process with [EXIT_BAD_INPUT]. */
+internal fun fail(message: String): Nothing {
+    System.err.println(message)
+    exitProcess(EXIT_BAD_INPUT)
+}
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/edit/EditsTest.kt
@@ -0,0 +1,85 @@
+package io.monsoonpath.app.edit
+
+import io.monsoonpath.app.request.matchOrNull
+import io.monsoonpath.app.standin.demoConfiguration
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.KeyId
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.WorkspaceId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.util.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class EditsTest {
+    private val start = demoConfiguration(mapOf("encode" to "http://127.0.0.1:9001"))
+
+    private class Case(
+        val name: String,
+        val edit: Edit,
+        val force: Boolean,
+        val expected: List<String>,
+    )
+
+    private val accepted =
+        listOf(
+            Case("instance out", Edit.SetInstanceOut(E1, out = true), false, listOf("$.instancesOut[e1]: (none) -> \"e1\"")),
+            Case("burst", Edit.SetWorkspace(HINGES, burst = 7), false, listOf("$.workspaces[hinges].burst: 100 -> 7")),
+            Case("key", Edit.WithdrawKey(KeyId("demo-key")), false, listOf("$.keys[demo-key].withdrawn: false -> true")),
+            Case("domain out by force", Edit.SetDomainOut(FD1, out = true), true, listOf("$.domains[fd1].out: false -> true")),
+            Case("leave by force", Edit.SetBackendLeaving(B1, leaving = true), true, listOf("$.backends[encode-1].leaving: false -> true")),
+        )
+
+    @TestFactory
+    fun `an edit changes what it names and takes the next revision`(): List<DynamicTest> =
+        accepted.map { case ->
+            dynamicTest(case.name) {
+                val edited = assertIs<Reading.Valid<Configuration>>(start.apply(case.edit, case.force)).document
+                assertEquals(listOf("$.revision: 1 -> 2") + case.expected, differences(start, edited))
+            }
+        }
+
+    private val rejected =
+        listOf(
+            Case("last domain", Edit.SetDomainOut(FD1, out = true), false, listOf("$.pools", "$.domains")),
+            Case("last backend server", Edit.SetBackendLeaving(B1, leaving = true), false, listOf("$.pools")),
+            Case("unknown domain", Edit.SetDomainOut(FailureDomain("x"), out = true), false, listOf("$.domains")),
+            Case("unknown backend server", Edit.SetBackendLeaving(BackendId("x"), leaving = true), true, listOf("$.backends")),
+            Case("unknown key", Edit.WithdrawKey(KeyId("x")), true, listOf("$.keys")),
+            Case("instance that is not out", Edit.SetInstanceOut(E1, out = false), true, listOf("$.instancesOut")),
+            Case("new workspace without a rate", Edit.SetWorkspace(WorkspaceId("w"), burst = 1), true, listOf("$.workspaces")),
+            Case("burst out of range", Edit.SetWorkspace(HINGES, burst = 0), true, listOf("$.workspaces[0].burst")),
+        )
+
+    @TestFactory
+    fun `an edit that breaks the document is rejected with the path of the fault`(): List<DynamicTest> =
+        rejected.map { case ->
+            dynamicTest(case.name) {
+                val problems = assertIs<Reading.Invalid>(start.apply(case.edit, case.force)).problems
+                assertEquals(case.expected, problems.map { it.path })
+            }
+        }
+
+    @Test
+    fun `an issued key is accepted and its document holds no part of the secret`() {
+        val key = issueKey(HINGES, Random(1))
+        val edited = assertIs<Reading.Valid<Configuration>>(start.apply(Edit.IssueKey(key.spec))).document
+        assertEquals(key.spec, edited.keys.matchOrNull(key.secret))
+        assertNull(edited.keys.matchOrNull(key.secret + "x"))
+        assertEquals(false, key.secret.substringAfter('.') in edited.toString())
+    }
+
+    private companion object {
+        val E1 = InstanceId("e1")
+        val FD1 = FailureDomain("fd1")
+        val B1 = BackendId("encode-1")
+        val HINGES = WorkspaceId("hinges")
+    }
+}
