--- a/app/src/main/kotlin/io/monsoonpath/app/Main.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/Main.kt
@@ -3,15 +3,17 @@
 import io.monsoonpath.app.command.CheckCommand
 import io.monsoonpath.app.command.ConfigCommand
 import io.monsoonpath.app.command.DemoCommand
+import io.monsoonpath.app.command.ExplainCommand
 import io.monsoonpath.app.command.ServeCommand
+import io.monsoonpath.app.command.TimelineCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
 /** Runs the command that [args] names. */
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
-    val parser = ArgParser("monsoonpath")
-    parser.subcommands(ServeCommand(), CheckCommand(), ConfigCommand(), DemoCommand())
+    val parser = ArgParser("monsoonpath", strictSubcommandOptionsOrder = true)
+    parser.subcommands(ServeCommand(), CheckCommand(), ConfigCommand(), TimelineCommand(), ExplainCommand(), DemoCommand())
     parser.parse(args.orHelp())
 }
 
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/OperatorClient.kt
@@ -0,0 +1,80 @@
+package io.monsoonpath.app.command
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpStatus
+import io.monsoonpath.app.timeline.EventJson
+import io.monsoonpath.model.EventRecord
+import kotlinx.serialization.SerializationException
+import java.util.concurrent.CompletionException
+
+/** What one instance answered, or why it did not. */
+internal sealed interface Fetched {
+    /** The instance at [address] answered [text]. */
+    data class Text(
+        val address: String,
+        val text: String,
+    ) : Fetched
+
+    /** The instance at [address] gave no usable answer. */
+    data class Failed(
+        val address: String,
+        val cause: String,
+    ) : Fetched
+}
+
+/** Reads [path] from each of [addresses] (`IP:PORT` of the operator port) at the same time. */
+internal fun fetchAll(
+    addresses: List<String>,
+    path: String,
+): List<Fetched> =
+    addresses.map { it to client(it).get(path).aggregate() }.map { (address, answer) ->
+        try {
+            val response = answer.join()
+            if (response.status() ==
+                HttpStatus.OK
+            ) {
+                Fetched.Text(address, response.contentUtf8())
+            } else {
+                Fetched.Failed(address, response.status().toString())
+            }
+        } catch (e: CompletionException) {
+            Fetched.Failed(address, e.cause?.message ?: "no answer")
+        }
+    }
+
+private fun client(address: String) = WebClient.builder("http://$address").responseTimeoutMillis(FETCH_TIMEOUT_MS).build()
+
+/** Returns the answers as pairs of address and text, and reports each failure on standard error. */
+internal fun List<Fetched>.reportingFailures(): List<Fetched.Text> {
+    filterIsInstance<Fetched.Failed>().forEach { System.err.println("${it.address}: ${it.cause}") }
+    return filterIsInstance<Fetched.Text>()
+}
+
+/** Reads event records from JSON lines; lines that cannot be read are counted on standard error, never passed over in silence. */
+internal fun parseEvents(
+    source: String,
+    text: String,
+): List<EventRecord> {
+    val lines = text.lineSequence().filter { it.isNotBlank() }.toList()
+    val records = lines.mapNotNull { parseEventOrNull(it) }
+    if (records.size < lines.size) System.err.println("$source: ${lines.size - records.size} lines are not event records")
+    return records
+}
+
+private fun parseEventOrNull(line: String): EventRecord? =
+    try {
+        EventJson.decodeFromString(EventRecord.serializer(), line)
+    } catch (_: SerializationException) {
+        null
+    }
+
+/** Splits a list of addresses, or ends the process if one is not `IP:PORT`. */
+internal fun parseAddresses(list: String): List<String> {
+    val addresses = list.split(',').map { it.trim() }.filter { it.isNotEmpty() }
+    addresses.firstOrNull { !ADDRESS_FORM.matches(it) }?.let { fail("--instances: $it: must be IP:PORT of an operator port") }
+    if (addresses.isEmpty()) fail("--instances: (missing): must name at least one IP:PORT")
+    return addresses
+}
+
+private const val FETCH_TIMEOUT_MS = 5_000L
+private val ADDRESS_FORM = Regex("([0-9.]+|\\[[0-9a-fA-F:]+]):\\d{1,5}")
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/timeline/Offsets.kt
@@ -0,0 +1,84 @@
+package io.monsoonpath.app.timeline
+
+import io.monsoonpath.model.Event
+import io.monsoonpath.model.EventRecord
+
+/**
+ * Estimates for each process what to add to its clock to come to a common scale.
+ *
+ * A message bounds the difference of two clocks from one side: its receipt is not before its sending. Messages in both
+ * directions give an interval, of which the middle is taken. Processes without messages are aligned by the configuration
+ * revisions that both adopted, and failing that by their starts.
+ */
+internal fun estimateOffsetsMs(streams: Map<ProcessId, List<EventRecord>>): Map<ProcessId, Long> {
+    val bounds = lowerBoundsMs(streams)
+    val offsets = LinkedHashMap<ProcessId, Long>()
+    for (start in streams.keys) {
+        if (start in offsets) continue
+        offsets[start] = alignByRevisionsMs(start, streams, offsets)
+        spread(start, streams.keys, bounds, offsets)
+    }
+    val earliestMs = streams.minOfOrNull { (process, stream) -> stream.first().atMs + offsets.getValue(process) } ?: 0
+    return offsets.mapValues { it.value - earliestMs }
+}
+
+/** Extends [offsets] from [start] over all processes that messages connect with it. */
+private fun spread(
+    start: ProcessId,
+    processes: Set<ProcessId>,
+    bounds: Map<Pair<ProcessId, ProcessId>, Long>,
+    offsets: MutableMap<ProcessId, Long>,
+) {
+    val queue = ArrayDeque(listOf(start))
+    while (queue.isNotEmpty()) {
+        val from = queue.removeFirst()
+        for (to in processes) {
+            if (to in offsets) continue
+            val differenceMs = differenceMsOrNull(bounds[from to to], bounds[to to from]) ?: continue
+            offsets[to] = offsets.getValue(from) + differenceMs
+            queue += to
+        }
+    }
+}
+
+/** Returns the middle between the bound from messages one way and the bound from messages the other way. */
+private fun differenceMsOrNull(
+    lowerMs: Long?,
+    reverseLowerMs: Long?,
+): Long? =
+    when {
+        lowerMs != null && reverseLowerMs != null -> (lowerMs - reverseLowerMs) / 2
+        lowerMs != null -> lowerMs
+        reverseLowerMs != null -> -reverseLowerMs
+        else -> null
+    }
+
+/** Returns for each pair (from, to) the least that the offset of `to` exceeds that of `from`, over all messages between them. */
+private fun lowerBoundsMs(streams: Map<ProcessId, List<EventRecord>>): Map<Pair<ProcessId, ProcessId>, Long> {
+    val sentAtMs = HashMap<MessageKey, Long>()
+    streams.values.forEach { stream -> stream.forEach { record -> record.sentOrNull()?.let { sentAtMs[it] = record.atMs } } }
+    val bounds = HashMap<Pair<ProcessId, ProcessId>, Long>()
+    streams.values.flatten().forEach { record ->
+        val message = record.receivedOrNull() ?: return@forEach
+        val atMs = sentAtMs[message] ?: return@forEach
+        bounds.merge(message.from to record.process, atMs - record.atMs, ::maxOf)
+    }
+    return bounds
+}
+
+private fun alignByRevisionsMs(
+    process: ProcessId,
+    streams: Map<ProcessId, List<EventRecord>>,
+    offsets: Map<ProcessId, Long>,
+): Long {
+    val own = streams.getValue(process).adoptionsMs()
+    for ((other, offsetMs) in offsets) {
+        val theirs = streams.getValue(other).adoptionsMs()
+        val revision = own.keys.firstOrNull { it in theirs } ?: continue
+        return theirs.getValue(revision) + offsetMs - own.getValue(revision)
+    }
+    return -streams.getValue(process).first().atMs
+}
+
+private fun List<EventRecord>.adoptionsMs(): Map<Long, Long> =
+    mapNotNull { record -> (record.event as? Event.ConfigurationAdopted)?.let { it.revision.value to record.atMs } }.toMap()
