--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/spread/ReadSchedule.kt
@@ -0,0 +1,50 @@
+package io.monsoonpath.coordination.spread
+
+import kotlin.random.Random
+
+/** When a process reads one kind of document from the platform: one read at a time, with a growing pause after a failure. */
+internal class ReadSchedule(
+    private val random: Random,
+) {
+    private var inFlightSinceMs: Long? = null
+    private var nextMs = 0L
+    private var failures = 0
+
+    /** Returns whether a read may start; one without any result for [LOST_MS] counts as lost. */
+    fun mayStart(nowMs: Long): Boolean = nowMs >= nextMs && inFlightSinceMs.let { it == null || nowMs - it > LOST_MS }
+
+    /** Notes that a read started. */
+    fun started(nowMs: Long) {
+        inFlightSinceMs = nowMs
+    }
+
+    /** Notes that the platform answered; the next read may start [pauseMs] after this one did. */
+    fun succeeded(pauseMs: Long) {
+        nextMs = (inFlightSinceMs ?: 0L) + pauseMs
+        inFlightSinceMs = null
+        failures = 0
+    }
+
+    /** Notes that the read failed or brought an old document; the pause doubles up to [MAX_PAUSE_MS], with jitter. */
+    fun failed(
+        nowMs: Long,
+        leastPauseMs: Long,
+    ) {
+        inFlightSinceMs = null
+        val pauseMs = maxOf(leastPauseMs, (MIN_PAUSE_MS shl failures).coerceAtMost(MAX_PAUSE_MS))
+        failures = (failures + 1).coerceAtMost(MAX_DOUBLINGS)
+        nextMs = nowMs + pauseMs / 2 + random.nextLong(pauseMs)
+    }
+
+    /** Lets no read start before [atMs]. */
+    fun delayUntil(atMs: Long) {
+        nextMs = maxOf(nextMs, atMs)
+    }
+
+    private companion object {
+        const val LOST_MS = 10_000L
+        const val MIN_PAUSE_MS = 250L
+        const val MAX_PAUSE_MS = 2_000L
+        const val MAX_DOUBLINGS = 4
+    }
+}
