Add backend choice, deadlines, fair share and retry decisions

The request path needs decisions that stand-ins make at random today. Adds to module policy, each pure with time and seed as arguments: - choice: expected completion among two random servers and the holders of the prompt's prefix, aging reports, ejection with a floor, and the check at the send - deadline: decaying duration quantiles, stage budgets, hopelessness - fairness: start-time fair queueing with a drop decision, weights corrected by peers' demand, a window per pool - retry: budgets as shares of first attempts, retry and hedge verdicts, the race of attempts

--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/choice/BackendChooser.kt
@@ -0,0 +1,166 @@
+package io.monsoonpath.policy.choice
+
+import io.monsoonpath.model.BackendId
+import java.util.SplittableRandom
+
+/**
+ * A stage call that needs a backend server.
+ *
+ * @property expectedMs the expected duration on an idle server
+ * @property prefixHash the hash of the prompt's prefix, or null where no cache helps
+ * @property prefixSaving the part of the duration that a cached prefix saves, from 0 to 1
+ * @property excluded the servers that failed this call before
+ */
+class ChoiceQuery(
+    val expectedMs: Double,
+    val prefixHash: Long? = null,
+    val prefixSaving: Double = 0.0,
+    val excluded: List<BackendId> = emptyList(),
+)
+
+/** The result of a choice. */
+sealed interface Choice {
+    /**
+     * A server to send to, once the check at the send has passed.
+     *
+     * @property expectedMs the expected duration of the call there, with the round trip
+     * @property idleExpectedMs the expected duration of the same call at the same load on a server of typical speed
+     * @property needsPermit whether the server is in a cold start, so that the send needs a permit
+     */
+    data class Chosen(
+        val backend: TrackedBackend,
+        val expectedMs: Double,
+        val idleExpectedMs: Double,
+        val needsPermit: Boolean,
+    ) : Choice
+
+    /** No server of the pool may receive the call. */
+    data object NoBackend : Choice
+
+    /** Every server of the pool that may receive the call is in a cold start and bears no more. */
+    data object AllAtColdLimit : Choice
+}
+
+/**
+ * Chooses a backend server by expected completion among a few random ones and those that may hold the prompt's prefix.
+ *
+ * Several instances with the same lagging reports would all choose the same least loaded server; a random few per call spreads them.
+ *
+ * @param hints the prefix hints of this instance
+ * @param choices the number of random servers of the own region that are compared, at least two
+ */
+class BackendChooser(
+    private val hints: PrefixHints,
+    private val choices: Int = 2,
+) {
+    init {
+        require(choices >= 2) { "choices must be at least 2: $choices" }
+    }
+
+    /**
+     * Returns the choice for [query] from [pool].
+     *
+     * @param seed a number that differs between calls; the same arguments give the same choice
+     */
+    fun choose(
+        pool: PoolView,
+        query: ChoiceQuery,
+        nowMs: Long,
+        seed: Long,
+    ): Choice {
+        if (pool.size == 0) return Choice.NoBackend
+        val comparison = Comparison(pool, query, nowMs)
+        val random = SplittableRandom(seed)
+        comparison.sample(pool.local, choices, random)
+        comparison.sample(pool.remote, REMOTE_CHOICES, random)
+        comparison.addHolders()
+        return comparison.bestOrNull() ?: comparison.scan(random)
+    }
+
+    /** The comparison of one call: the best server so far and its expected completion. */
+    private inner class Comparison(
+        private val pool: PoolView,
+        private val query: ChoiceQuery,
+        private val nowMs: Long,
+    ) {
+        private val holders = query.prefixHash?.let { hints.holdersOrNull(it) }
+        private var best: Candidate? = null
+        private var bestMs = Double.MAX_VALUE
+
+        fun sample(
+            from: List<Candidate>,
+            count: Int,
+            random: SplittableRandom,
+        ) {
+            if (from.isEmpty()) return
+            val first = random.nextInt(from.size)
+            offer(from[first], skipEjected = true)
+            repeat(minOf(count, from.size) - 1) {
+                val step = 1 + random.nextInt(from.size - 1)
+                offer(from[(first + step) % from.size], skipEjected = true)
+            }
+        }
+
+        fun addHolders() {
+            val known = holders ?: return
+            for (id in known.backends) pool.localOrNull(id)?.let { offer(it, skipEjected = true) }
+        }
+
+        fun bestOrNull(): Choice? = best?.let { chosen(it.backend, bestMs) }
+
+        /** Looks at every server, and at ejected ones if there is no other: late is better than not at all. */
+        fun scan(random: SplittableRandom): Choice {
+            val start = random.nextInt(pool.size)
+            for (skipEjected in EJECTED_LAST) {
+                for (i in 0 until pool.size) offer(pool[(start + i) % pool.size], skipEjected)
+                bestOrNull()?.let { return it }
+            }
+            return if ((0 until pool.size).any { pool[it].isAllowed() }) Choice.AllAtColdLimit else Choice.NoBackend
+        }
+
+        private fun offer(
+            candidate: Candidate,
+            skipEjected: Boolean,
+        ) {
+            val backend = candidate.backend
+            if (skipEjected && backend.isEjected(nowMs)) return
+            if (!candidate.isAllowed() || backend.isAtColdLimit()) return
+            val ms = candidate.distanceMs + atLoadMs(backend) * backend.slowness(nowMs) * (1 - saving(backend))
+            if (ms >= bestMs) return
+            best = candidate
+            bestMs = ms
+        }
+
+        private fun Candidate.isAllowed() = backend.id !in query.excluded
+
+        private fun atLoadMs(backend: TrackedBackend): Double =
+            query.expectedMs * loadFactor(backend.expectedLoad(nowMs, pool.meanUtilisation), backend.loadLimit)
+
+        private fun saving(backend: TrackedBackend): Double =
+            if (holders == null) 0.0 else query.prefixSaving * hints.worth(holders, backend.id, nowMs)
+
+        private fun chosen(
+            backend: TrackedBackend,
+            expectedMs: Double,
+        ) = Choice.Chosen(backend, expectedMs, atLoadMs(backend) * (1 - saving(backend)), backend.needsPermit)
+    }
+
+    private companion object {
+        const val REMOTE_CHOICES = 1
+        val EJECTED_LAST = listOf(true, false)
+    }
+}
+
+private fun TrackedBackend.isAtColdLimit() = needsPermit && ownInFlight >= loadLimit
+
+/** Returns how many times longer than on an idle server a call takes: batching shares the server up to its limit, then calls queue. */
+internal fun loadFactor(
+    load: Double,
+    limit: Int,
+): Double {
+    val share = load / limit
+    return 1 + SHARING * minOf(share, 1.0) + QUEUEING * (share - 1).coerceAtLeast(0.0)
+}
+
+private const val SHARING = 0.5
+private const val QUEUEING = 2.0
--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/choice/PrefixHints.kt
@@ -0,0 +1,122 @@
+package io.monsoonpath.policy.choice
+
+import io.monsoonpath.model.BackendId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReferenceArray
+
+/**
+ * Which engines probably hold which prompt prefixes; usable from several threads.
+ *
+ * Cache events come late and with gaps and memory on engines is limited, so that every entry is a hint that loses half of its worth each
+ * [HALF_LIFE_MS]. A gap in an engine's events makes older hints on it worthless, because the lost events may have evicted them.
+ * The table has a fixed number of slots; a new prefix takes the slot of the former one.
+ *
+ * @param slots the number of prefixes, a power of two
+ */
+class PrefixHints(
+    private val slots: Int,
+) {
+    private val table = AtomicReferenceArray<PrefixHolders?>(slots)
+    private val streams = ConcurrentHashMap<BackendId, EventStream>()
+
+    init {
+        require(slots > 0 && Integer.bitCount(slots) == 1) { "slots must be a power of two: $slots" }
+    }
+
+    /** Notes that [backend] holds the prefix with [prefixHash], from a cache event or an own request. */
+    fun stored(
+        prefixHash: Long,
+        backend: BackendId,
+        nowMs: Long,
+    ) {
+        table.getAndUpdate(slot(prefixHash)) { it.with(prefixHash, backend, nowMs) }
+    }
+
+    /** Notes that [backend] evicted the prefix with [prefixHash]. */
+    fun evicted(
+        prefixHash: Long,
+        backend: BackendId,
+    ) {
+        table.getAndUpdate(slot(prefixHash)) { if (it?.prefixHash == prefixHash) it.without(backend) else it }
+    }
+
+    /** Notes that event number [seq] came from [backend]; a gap ends the trust in its older hints. */
+    fun eventReceived(
+        backend: BackendId,
+        seq: Long,
+        nowMs: Long,
+    ) {
+        streams.compute(backend) { _, last ->
+            when {
+                last == null || seq == last.seq + 1 -> EventStream(seq, last?.trustedFromMs ?: Long.MIN_VALUE)
+                seq <= last.seq -> last
+                else -> EventStream(seq, nowMs)
+            }
+        }
+    }
+
+    /** Forgets every hint on [backend], after a restart. */
+    fun forget(
+        backend: BackendId,
+        nowMs: Long,
+    ) {
+        streams.compute(backend) { _, last -> EventStream(last?.seq ?: 0, nowMs) }
+    }
+
+    /** Returns the engines that may hold the prefix, or null where none is known. */
+    fun holdersOrNull(prefixHash: Long): PrefixHolders? = table.get(slot(prefixHash))?.takeIf { it.prefixHash == prefixHash }
+
+    /** Returns the probability, from 0 to 1, that [backend] still holds the prefix of [holders]. */
+    fun worth(
+        holders: PrefixHolders,
+        backend: BackendId,
+        nowMs: Long,
+    ): Double {
+        val i = holders.backends.indexOf(backend)
+        if (i < 0) return 0.0
+        val seenAtMs = holders.seenAtMs[i]
+        val trustedFromMs = streams[backend]?.trustedFromMs ?: Long.MIN_VALUE
+        if (seenAtMs < trustedFromMs) return 0.0
+        return Math.pow(0.5, (nowMs - seenAtMs).coerceAtLeast(0).toDouble() / HALF_LIFE_MS)
+    }
+
+    private fun slot(prefixHash: Long): Int = (prefixHash xor (prefixHash ushr 32)).toInt() and (slots - 1)
+
+    private class EventStream(
+        val seq: Long,
+        val trustedFromMs: Long,
+    )
+
+    private companion object {
+        const val HALF_LIFE_MS = 30_000L
+    }
+}
+
+/** The engines that were last seen to hold a prefix, the latest first; immutable. */
+class PrefixHolders internal constructor(
+    internal val prefixHash: Long,
+    internal val backends: List<BackendId>,
+    internal val seenAtMs: LongArray,
+)
+
+private fun PrefixHolders?.with(
+    prefixHash: Long,
+    backend: BackendId,
+    nowMs: Long,
+): PrefixHolders {
+    if (this == null || this.prefixHash != prefixHash) return PrefixHolders(prefixHash, listOf(backend), longArrayOf(nowMs))
+    val others = backends.indices.filter { backends[it] != backend }.take(MAX_HOLDERS - 1)
+    return PrefixHolders(
+        prefixHash,
+        listOf(backend) + others.map { backends[it] },
+        longArrayOf(nowMs) + others.map { seenAtMs[it] },
+    )
+}
+
+private fun PrefixHolders.without(backend: BackendId): PrefixHolders? {
+    val others = backends.indices.filter { backends[it] != backend }
+    if (others.isEmpty()) return null
+    return PrefixHolders(prefixHash, others.map { backends[it] }, LongArray(others.size) { seenAtMs[others[it]] })
+}
+
+private const val MAX_HOLDERS = 4
--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/choice/TrackedBackend.kt
@@ -0,0 +1,154 @@
+package io.monsoonpath.policy.choice
+
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.BackendSpec
+import io.monsoonpath.model.FailureDomain
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.math.exp
+
+/**
+ * What one instance knows of a backend server; all members may be used from several threads.
+ *
+ * @property id the backend server
+ * @property domain its failure domain
+ * @property fullLoad the requests it bears at once when warm
+ * @property coldLoad the requests it bears at once in a cold start
+ */
+class TrackedBackend(
+    val id: BackendId,
+    val domain: FailureDomain,
+    val fullLoad: Int,
+    val coldLoad: Int,
+) {
+    private val inFlight = AtomicInteger()
+    private val slowness = AtomicReference(Slowness.UNKNOWN)
+    private val failures = AtomicInteger()
+    private val ejectedUntil = AtomicLong(Long.MIN_VALUE)
+    private val permitLimit = AtomicInteger(coldLoad)
+    private val report = AtomicReference<LoadReport?>(null)
+
+    /** This instance's requests that are running on the server. */
+    val ownInFlight: Int get() = inFlight.get()
+
+    /** The number of failures since the last success. */
+    val failuresInRow: Int get() = failures.get()
+
+    /** The number of timed answers that the slowness rests on. */
+    val observations: Long get() = slowness.get().observations
+
+    /** The latest report, or null before the first one. */
+    val reportOrNull: LoadReport? get() = report.get()
+
+    /** The load it may bear at once at present: below [fullLoad] during a ramp, when each send needs a permit. */
+    val loadLimit: Int get() = permitLimit.get()
+
+    /** Whether each send needs a permit. */
+    val needsPermit: Boolean get() = permitLimit.get() < fullLoad
+
+    /** Sets the load it may bear at once, from [coldLoad] to [fullLoad]. */
+    fun limitTo(load: Int) = permitLimit.set(load.coerceIn(coldLoad, fullLoad))
+
+    /** Notes that a request was sent; [ended] or [abandoned] must follow exactly once. */
+    fun started() {
+        inFlight.incrementAndGet()
+    }
+
+    /** Notes that a request ended without saying anything of the server, such as a cancelled one. */
+    fun abandoned() {
+        inFlight.decrementAndGet()
+    }
+
+    /**
+     * Notes the end of a request.
+     *
+     * @param ratio the duration divided by the expected duration at the load it was sent under
+     * @param ok whether the server answered
+     */
+    fun ended(
+        ratio: Double,
+        ok: Boolean,
+        nowMs: Long,
+    ) {
+        inFlight.decrementAndGet()
+        if (ok) failures.set(0) else failures.incrementAndGet()
+        if (ok) slowness.updateAndGet { it.with(ratio.coerceIn(MIN_RATIO, MAX_RATIO), nowMs) }
+    }
+
+    /** Notes a report of [inFlightOverall] requests. */
+    fun reported(latest: LoadReport) = report.set(latest)
+
+    /** Forgets what earlier processes at this address did; the load limit returns to [coldLoad]. */
+    fun restarted() {
+        slowness.set(Slowness.UNKNOWN)
+        failures.set(0)
+        permitLimit.set(coldLoad)
+        report.set(null)
+    }
+
+    /** Takes the server out of the choice until [untilMs]. */
+    fun eject(untilMs: Long) = ejectedUntil.set(untilMs)
+
+    /** Returns whether the server is out of the choice. */
+    fun isEjected(nowMs: Long): Boolean = nowMs < ejectedUntil.get()
+
+    /** Returns how many times longer than expected the server takes; it recovers towards 1 while nothing is observed. */
+    fun slowness(nowMs: Long): Double = slowness.get().at(nowMs)
+
+    /**
+     * Returns the expected load over all instances.
+     *
+     * The part of other instances is the report's, and moves to the pool's mean as the report ages.
+     *
+     * @param meanUtilisation the pool's mean of load over full load
+     */
+    fun expectedLoad(
+        nowMs: Long,
+        meanUtilisation: Double,
+    ): Double {
+        val own = inFlight.get()
+        val typicalOthers = (meanUtilisation * fullLoad - own).coerceAtLeast(0.0)
+        val latest = report.get() ?: return own + typicalOthers
+        val others = (latest.inFlight - latest.ownInFlight).coerceAtLeast(0)
+        val trust = exp(-(nowMs - latest.receivedAtMs).coerceAtLeast(0) / REPORT_TRUST_MS)
+        return own + trust * others + (1 - trust) * typicalOthers
+    }
+
+    private companion object {
+        const val REPORT_TRUST_MS = 2_000.0
+        const val MIN_RATIO = 0.05
+        const val MAX_RATIO = 50.0
+    }
+}
+
+/** Returns the tracking record of a configured backend server, cold at first. */
+fun trackedBackend(spec: BackendSpec): TrackedBackend = TrackedBackend(spec.id, spec.domain, spec.fullLoad, spec.coldLoad)
+
+/** An average of duration ratios that moves back to 1 while nothing is observed. */
+private class Slowness(
+    private val ratio: Double,
+    private val atMs: Long,
+    val observations: Long,
+) {
+    fun at(nowMs: Long): Double {
+        if (observations == 0L) return 1.0
+        val kept = exp(-(nowMs - atMs).coerceAtLeast(0) / RECOVERY_MS)
+        return 1 + (ratio - 1) * kept
+    }
+
+    fun with(
+        observed: Double,
+        nowMs: Long,
+    ): Slowness {
+        val step = if (observations < WARM_UP) 1.0 / (observations + 1) else STEP
+        return Slowness(at(nowMs) + step * (observed - at(nowMs)), nowMs, observations + 1)
+    }
+
+    companion object {
+        val UNKNOWN = Slowness(1.0, 0, 0)
+        private const val RECOVERY_MS = 20_000.0
+        private const val STEP = 0.1
+        private const val WARM_UP = 8
+    }
+}
--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/retry/AttemptBudget.kt
@@ -0,0 +1,46 @@
+package io.monsoonpath.policy.retry
+
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * A budget of extra attempts as a share of first attempts, so that overload is never amplified.
+ *
+ * It starts empty: over any stretch from the start, the extra attempts are at most the share of the first attempts. What is
+ * not used is kept up to [MAX_SAVED] attempts. Usable from several threads.
+ *
+ * @param shareMilli the extra attempts allowed for a thousand first attempts
+ */
+class AttemptBudget(
+    private val shareMilli: Long,
+) {
+    private val milli = AtomicLong()
+
+    init {
+        require(shareMilli in 0..MILLI) { "shareMilli must lie from 0 to $MILLI: $shareMilli" }
+    }
+
+    /** Notes a first attempt. */
+    fun firstAttempt() {
+        milli.updateAndGet { minOf(it + shareMilli, MAX_SAVED * MILLI) }
+    }
+
+    /** Takes one extra attempt from the budget; returns whether it was there. */
+    fun tryTake(): Boolean {
+        while (true) {
+            val now = milli.get()
+            if (now < MILLI) return false
+            if (milli.compareAndSet(now, now - MILLI)) return true
+        }
+    }
+
+    private companion object {
+        const val MILLI = 1_000L
+        const val MAX_SAVED = 100L
+    }
+}
+
+/** Returns the budget of retries: at most 10 in 100 first attempts. */
+fun retryBudget(): AttemptBudget = AttemptBudget(shareMilli = 100)
+
+/** Returns the budget of hedges: at most 5 in 100 first attempts. */
+fun hedgeBudget(): AttemptBudget = AttemptBudget(shareMilli = 50)
--- /dev/null
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/choice/BackendStateTest.kt
@@ -0,0 +1,111 @@
+package io.monsoonpath.policy.choice
+
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.readConfiguration
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+internal class BackendStateTest {
+    @ParameterizedTest
+    @CsvSource("1, 0", "2, 0", "3, 1", "8, 2", "13, 4")
+    fun `ejects no more than a third of a pool`(
+        servers: Int,
+        ejected: Int,
+    ) {
+        val backends = List(servers) { failing("b$it") }
+        assertEquals(ejected, OutlierEjection().update(backends, nowMs = 0).size)
+    }
+
+    @Test
+    fun `ejects a server that fails again for twice as long`() {
+        val backends = List(6) { warmBackend("b$it") } + failing("bad")
+        val ejection = OutlierEjection()
+        ejection.update(backends, nowMs = 0)
+        ejection.update(backends, nowMs = 3_000)
+        assertEquals(listOf(true, false), listOf(8_999L, 9_000L).map { backends.last().isEjected(it) })
+    }
+
+    @ParameterizedTest
+    @CsvSource("0, 6.0", "2000, 6.0", "1000000, 6.0")
+    fun `keeps own load whatever the age of the report`(
+        ageMs: Long,
+        least: Double,
+    ) {
+        val backend = warmBackend("a").also { b -> repeat(6) { b.started() } }
+        backend.reported(report(inFlight = 2, receivedAtMs = 0, ownInFlight = 2))
+        assertEquals(least, backend.expectedLoad(ageMs, meanUtilisation = 0.0), absoluteTolerance = 1e-9)
+    }
+
+    @Test
+    fun `a gap in cache events ends the trust in older hints`() {
+        val hints = PrefixHints(16)
+        hints.eventReceived(BackendId("a"), seq = 1, nowMs = 0)
+        hints.stored(7, BackendId("a"), nowMs = 0)
+        val holders = checkNotNull(hints.holdersOrNull(7))
+        val before = hints.worth(holders, BackendId("a"), nowMs = 30_000)
+        hints.eventReceived(BackendId("a"), seq = 3, nowMs = 30_000)
+        val after = hints.worth(holders, BackendId("a"), nowMs = 30_000)
+        assertEquals(listOf(0.5, 0.0), listOf(before, after))
+    }
+
+    @Test
+    fun `an evicted prefix is forgotten`() {
+        val hints = PrefixHints(16)
+        hints.stored(7, BackendId("a"), nowMs = 0)
+        hints.evicted(7, BackendId("a"))
+        assertNull(hints.holdersOrNull(7))
+    }
+
+    private class SendCase(
+        val name: String,
+        val expected: SendRefusal?,
+        val backend: String = "b1",
+        val change: (Configuration) -> Configuration = { it },
+    )
+
+    @TestFactory
+    fun `checks each send against the configuration`() =
+        listOf(
+            SendCase("in service", null),
+            SendCase("unknown backend", SendRefusal.UNKNOWN_BACKEND, backend = "b9"),
+            SendCase("leaving", SendRefusal.LEAVING_BACKEND) { c -> c.copy(backends = c.backends.map { it.copy(leaving = true) }) },
+            SendCase("domain out", SendRefusal.DOMAIN_OUT) { c -> c.copy(domains = c.domains.map { it.copy(out = true) }) },
+            SendCase("instance out", SendRefusal.INSTANCE_OUT) { it.copy(instancesOut = listOf(InstanceId("e1"))) },
+        ).map { case ->
+            dynamicTest(case.name) {
+                val check = SendCheck.of(case.change(SMALL_CONFIGURATION))
+                assertEquals(case.expected, check.refusalOrNull(BackendId(case.backend), InstanceId("e1")))
+            }
+        }
+
+    private fun failing(name: String) =
+        warmBackend(name).also { b ->
+            repeat(5) {
+                b.started()
+                b.ended(1.0, ok = false, nowMs = 0)
+            }
+        }
+}
+
+private val SMALL_CONFIGURATION: Configuration =
+    (
+        readConfiguration(
+            """
+            {
+              "revision": 7,
+              "domains": [{"id": "fd1", "region": "r1"}],
+              "pools": [{"id": "encoders", "kind": "encode"}],
+              "backends": [{"id": "b1", "url": "http://127.0.0.1:9101", "pool": "encoders", "domain": "fd1", "coldLoad": 1, "fullLoad": 8}],
+              "pipelines": [], "routes": [], "workspaces": []
+            }
+            """,
+        ) as Reading.Valid
+    ).document
--- /dev/null
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/deadline/DeadlinePlanTest.kt
@@ -0,0 +1,66 @@
+package io.monsoonpath.policy.deadline
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+internal class DeadlinePlanTest {
+    private val plan = DeadlinePlan(listOf(summary(20.0, 40.0), summary(30.0, 60.0), summary(900.0, 1_600.0)))
+
+    @ParameterizedTest
+    @CsvSource(
+        "0, 4000, 0, true",
+        "0, 950, 0, true",
+        "0, 949, 0, false",
+        "0, 1000, 51, false",
+        "2, 900, 0, true",
+        "2, 899, 0, false",
+        "2, 0, 0, false",
+    )
+    fun `refuses what usually cannot finish`(
+        stage: Int,
+        leftMs: Long,
+        waitMs: Double,
+        runs: Boolean,
+    ) {
+        assertEquals(runs, plan.verdict(stage, nowMs = 0, deadlineAtMs = leftMs, waitMs) is StageVerdict.Run)
+    }
+
+    @ParameterizedTest
+    @CsvSource("0, 4000, 2369", "1, 4000, 2400", "2, 4000, 4000", "1, 1000, 100")
+    fun `budgets a stage with what the later ones leave`(
+        stage: Int,
+        leftMs: Long,
+        budgetMs: Long,
+    ) {
+        val verdict = assertIs<StageVerdict.Run>(plan.verdict(stage, nowMs = 0, deadlineAtMs = leftMs))
+        assertEquals(budgetMs, verdict.budgetMs)
+    }
+
+    @ParameterizedTest
+    @CsvSource("0, 931, false", "0, 930, true", "2, 1, false", "2, 0, true")
+    fun `cancels a stage when the later ones no longer fit`(
+        stage: Int,
+        leftMs: Long,
+        hopeless: Boolean,
+    ) = assertEquals(hopeless, plan.isHopeless(stage, nowMs = 0, deadlineAtMs = leftMs))
+
+    @Test
+    fun `quantiles follow the last minute`() {
+        val durations = StageDurations(expectedMs = 50)
+        val seen = mutableListOf(durations.summary.medianMs)
+        for (second in 0L until 140L) {
+            repeat(10) { durations.record(if (second < 70) 100 else 300) }
+            durations.rotate(second * 1_000)
+            if (second == 69L || second == 139L) seen += durations.summary.medianMs
+        }
+        assertEquals(listOf(50.0, 100.0, 301.0), seen)
+    }
+
+    private fun summary(
+        medianMs: Double,
+        p95Ms: Double,
+    ) = DurationSummary(medianMs, medianMs, p95Ms, p99Ms = p95Ms, count = 100)
+}
--- /dev/null
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/retry/RetryPolicyTest.kt
@@ -0,0 +1,93 @@
+package io.monsoonpath.policy.retry
+
+import io.monsoonpath.model.AttemptId
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.policy.deadline.DurationSummary
+import io.monsoonpath.policy.deadline.expectedDuration
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.util.SplittableRandom
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+internal class RetryPolicyTest {
+    @ParameterizedTest
+    @CsvSource(
+        "LOST, true, 1, 500, RETRY",
+        "LOST, false, 1, 500, NOT_IDEMPOTENT",
+        "TIMED_OUT, false, 1, 500, NOT_IDEMPOTENT",
+        "NOT_SENT, false, 1, 500, RETRY",
+        "REJECTED, false, 1, 500, RETRY",
+        "LOST, true, 3, 500, TOO_MANY_ATTEMPTS",
+        "LOST, true, 1, 50, NO_TIME",
+    )
+    fun `only what may run again is retried`(
+        failure: AttemptFailure,
+        idempotent: Boolean,
+        attempts: Int,
+        leftMs: Long,
+        expected: String,
+    ) {
+        val budget = retryBudget().also { b -> repeat(10) { b.firstAttempt() } }
+        val verdict = decideRetry(FailedAttempt(failure, idempotent, attempts, leftMs, neededMs = 100.0), budget)
+        assertEquals(expected, (verdict as? RetryVerdict.GiveUp)?.reason?.name ?: "RETRY")
+    }
+
+    @ParameterizedTest
+    @CsvSource("retry, 0.10", "hedge, 0.05")
+    fun `extra attempts stay within their share at every moment`(
+        kind: String,
+        share: Double,
+    ) {
+        val budget = if (kind == "retry") retryBudget() else hedgeBudget()
+        val random = SplittableRandom(7)
+        var first = 0
+        var extra = 0
+        repeat(20_000) {
+            if (random.nextInt(3) > 0) {
+                budget.firstAttempt()
+                first++
+            } else if (budget.tryTake()) {
+                extra++
+            }
+            assertTrue(extra <= share * first + 1e-9, "$extra extra attempts for $first")
+        }
+    }
+
+    @Test
+    fun `only idempotent calls with time for a second attempt are hedged`() {
+        val durations = DurationSummary(meanMs = 100.0, medianMs = 100.0, p95Ms = 200.0, p99Ms = 300.0, count = 50)
+        assertEquals(200, hedgeDelayMsOrNull(idempotent = true, durations, leftMs = 300))
+        assertNull(hedgeDelayMsOrNull(idempotent = true, durations, leftMs = 299))
+        assertNull(hedgeDelayMsOrNull(idempotent = false, durations, leftMs = 4_000))
+        assertNull(hedgeDelayMsOrNull(idempotent = true, expectedDuration(100), leftMs = 4_000))
+    }
+
+    @Test
+    fun `one answer is accepted and the loser is cancelled`() {
+        val race = AttemptRace()
+        val first = race.start(ONE)
+        val second = race.start(TWO)
+        assertEquals(listOf(RaceEffect.Drop(first)), race.answered(first, TWO), "an answer from another server")
+        assertEquals(listOf(RaceEffect.Accept(second), RaceEffect.Cancel(first, ONE)), race.answered(second, TWO))
+        assertEquals(listOf(RaceEffect.Drop(first)), race.answered(first, ONE), "late")
+        assertEquals(listOf(RaceEffect.Drop(second)), race.answered(second, TWO), "double")
+    }
+
+    @Test
+    fun `a race fails with its last attempt`() {
+        val race = AttemptRace()
+        val attempts = listOf(race.start(ONE), race.start(TWO))
+        val effects = attempts.flatMap { race.failed(it, AttemptFailure.LOST) }
+        assertEquals(listOf<RaceEffect>(RaceEffect.AllFailed(AttemptFailure.LOST)), effects)
+        assertEquals(AttemptId(3), race.start(ONE))
+        assertEquals(listOf<RaceEffect>(RaceEffect.Cancel(AttemptId(3), ONE)), race.abandon())
+    }
+
+    private companion object {
+        val ONE = BackendId("one")
+        val TWO = BackendId("two")
+    }
+}
