Work out a configuration from a questionnaire

Cause: a new team had to write its configuration by hand. Change: init asks at the terminal or reads answers in JSON, and writes configuration, settings of each instance and the reasons for limits and capacities; examples for both users are what init writes, checked by a test. Measured: 11 cases pass: both examples, eight faults named by path, one dialogue with bad answers.

--- a/app/src/main/kotlin/io/monsoonpath/app/Main.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/Main.kt
@@ -4,6 +4,7 @@
 import io.monsoonpath.app.command.ConfigCommand
 import io.monsoonpath.app.command.DemoCommand
 import io.monsoonpath.app.command.ExplainCommand
+import io.monsoonpath.app.command.InitCommand
 import io.monsoonpath.app.command.ServeCommand
 import io.monsoonpath.app.command.TimelineCommand
 import kotlinx.cli.ArgParser
@@ -13,7 +14,7 @@
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     val parser = ArgParser("monsoonpath", strictSubcommandOptionsOrder = true)
-    parser.subcommands(ServeCommand(), CheckCommand(), ConfigCommand(), TimelineCommand(), ExplainCommand(), DemoCommand())
+    parser.subcommands(ServeCommand(), InitCommand(), CheckCommand(), ConfigCommand(), TimelineCommand(), ExplainCommand(), DemoCommand())
     parser.parse(args.orHelp())
 }
 
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/questionnaire/Dialogue.kt
@@ -0,0 +1,185 @@
+package io.monsoonpath.app.questionnaire
+
+import io.monsoonpath.model.Endpoint
+import io.monsoonpath.model.StageKind
+
+/** Where questions are asked and answers come from. */
+internal interface Console {
+    /** Shows [text] on a line of its own. */
+    fun show(text: String)
+
+    /** Returns the answer to [prompt], or null at the end of input. */
+    fun askOrNull(prompt: String): String?
+}
+
+/** Thrown when the input ends before all questions are answered. */
+internal class DialogueEndedException(
+    question: String,
+) : Exception("input ended at the question: $question")
+
+/** Asks all questions, each again until its answer is valid, and returns the answers. */
+internal fun Console.askAnswers(): Answers {
+    val name = ask("What is the deployment called?") { it }
+    val places = askPlaces()
+    val domains = places.flatMap { it.domains }
+    val platformUrl = ask("Where is the platform's configuration service (http://IP:PORT)?") { URL.accept(it) }
+    val instances = askMany("How many entry instances are there?") { askInstance(it, domains) }
+    val pools = askMany("How many pools of backend servers are there?") { askPool(it, domains) }
+    val pipelines = askMany("How many pipelines are there?") { askPipeline(it, pools) }
+    val workspaces = askMany("How many workspaces are there?") { askWorkspace(it) }
+    return Answers(name, places, platformUrl, instances, pools, pipelines, workspaces)
+}
+
+/** Asks [question] until [parse] accepts the answer; a fault is shown and the question asked again. */
+private fun <T> Console.ask(
+    question: String,
+    parse: (String) -> T,
+): T {
+    while (true) {
+        val answer = askOrNull("$question ")?.trim() ?: throw DialogueEndedException(question)
+        try {
+            require(answer.isNotEmpty()) { "an answer is needed" }
+            return parse(answer)
+        } catch (e: IllegalArgumentException) {
+            show("  '$answer': ${e.message}")
+        }
+    }
+}
+
+private fun <T> Console.askMany(
+    question: String,
+    askOne: (Int) -> T,
+): List<T> = (1..askNumber(question, 1..MAX_COUNT)).map { askOne(it) }
+
+private fun Console.askNumber(
+    question: String,
+    range: IntRange,
+): Int =
+    ask("$question (${range.first}-${range.last})") { answer ->
+        val number = requireNotNull(answer.toIntOrNull()) { "must be a whole number" }
+        number.also { require(it in range) { "must lie from ${range.first} to ${range.last}" } }
+    }
+
+private fun Console.askYes(question: String): Boolean =
+    ask("$question (yes/no)") { answer ->
+        require(answer == "yes" || answer == "no") { "must be yes or no" }
+        answer == "yes"
+    }
+
+private fun Console.askId(question: String): String = ask(question) { ID.accept(it) }
+
+private fun Console.askChoice(
+    question: String,
+    choices: List<String>,
+): String =
+    ask("$question (${choices.joinToString(", ")})") { answer ->
+        answer.also { require(it in choices) { "must be one of ${choices.joinToString(", ")}" } }
+    }
+
+private fun Console.askPlaces(): List<Place> =
+    askMany("How many regions are there?") { i ->
+        val region = askId("Region $i: what is it called?")
+        Place(
+            region,
+            ask("Region $region: its failure domains, with commas between?") { list -> list.split(',').map { ID.accept(it.trim()) } },
+        )
+    }
+
+private fun Console.askInstance(
+    number: Int,
+    domains: List<String>,
+): InstanceAnswer {
+    val id = askId("Entry instance $number: its id?")
+    val domain = askChoice("Entry instance $id: its failure domain?", domains)
+    val address = askAddress("Entry instance $id: its IP number and first of three ports (IP:PORT)?")
+    return InstanceAnswer(id, domain, address.host, address.port)
+}
+
+private fun Console.askPool(
+    number: Int,
+    domains: List<String>,
+): PoolAnswer {
+    val name = askId("Pool $number: its id?")
+    val kind = StageKind.valueOf(askChoice("Pool $name: its kind?", StageKind.entries.map { it.name.lowercase() }).uppercase())
+    val models =
+        if (kind ==
+            StageKind.GENERATE
+        ) {
+            ask("Pool $name: its models (name:sizeMb, with commas between)?") { it.split(',') }
+        } else {
+            emptyList()
+        }
+    val parallel = askNumber("Pool $name: requests that one warm server bears at once?", 1..MAX_LOAD)
+    val cold = askNumber("Pool $name: requests that one server bears in a cold start?", 1..parallel)
+    val fencing = kind == StageKind.GENERATE && askYes("Pool $name: do its engines refuse orders with an old fencing number?")
+    val servers = askMany("Pool $name: how many servers has it?") { askServer("$name-$it", domains) }
+    return PoolAnswer(name, kind, models, parallel, cold, fencing, servers)
+}
+
+private fun Console.askServer(
+    id: String,
+    domains: List<String>,
+) = ServerAnswer(id, askChoice("Server $id: its failure domain?", domains), askAddress("Server $id: its address (IP:PORT)?"))
+
+private fun Console.askPipeline(
+    number: Int,
+    pools: List<PoolAnswer>,
+): PipelineAnswer {
+    val name = askId("Pipeline $number: its id?")
+    val path = ask("Pipeline $name: the callers' path?") { answer -> answer.also { require(it.startsWith("/")) { "must start with /" } } }
+    val deadlineMs = askNumber("Pipeline $name: its deadline in ms?", 1..MAX_DEADLINE_MS).toLong()
+    val peakPerS =
+        ask("Pipeline $name: requests a second at the peak?") {
+            requireNotNull(
+                it.toDoubleOrNull()?.takeIf { n ->
+                    n > 0
+                },
+            ) { "must be above 0" }
+        }
+    val open = askYes("Pipeline $name: is it open to callers without a key?")
+    val stageCount = askNumber("Pipeline $name: how many stages?", 1..MAX_STAGES)
+    return PipelineAnswer(name, path, deadlineMs, peakPerS, open, (1..stageCount).map { askStage(it, pools) })
+}
+
+private fun Console.askStage(
+    number: Int,
+    pools: List<PoolAnswer>,
+): StageAnswer {
+    val name = askId("  Stage $number: its id?")
+    val pool = askChoice("  Stage $name: its pool?", pools.map { it.name })
+    val path = ask("  Stage $name: the path of the call?") { answer -> answer.also { require(it.startsWith("/")) { "must start with /" } } }
+    val expectedMs = askNumber("  Stage $name: how long does it take in ms?", 1..MAX_DEADLINE_MS).toLong()
+    val models = pools.first { it.name == pool }.models.map { it.substringBefore(':') }
+    val model = if (models.isEmpty()) null else askChoice("  Stage $name: its model?", models)
+    return StageAnswer(name, pool, path, expectedMs, askYes("  Stage $name: may a call be repeated?"), model)
+}
+
+private fun Console.askWorkspace(number: Int): WorkspaceAnswer {
+    val name = askId("Workspace $number: its id?")
+    val share = askNumber("Workspace $name: its part of the peak, relative to the others?", 1..MAX_COUNT)
+    return WorkspaceAnswer(name, share, askNumber("Workspace $name: its priority, 0 goes first?", 0..MAX_PRIORITY))
+}
+
+private fun Console.askAddress(question: String): Endpoint =
+    ask(question) { answer ->
+        val port = requireNotNull(answer.substringAfterLast(':', "").toIntOrNull()) { "must be IP:PORT" }
+        require(port in 1..MAX_PORT) { "the port must lie from 1 to $MAX_PORT" }
+        Endpoint(answer.substringBeforeLast(':').trim('[', ']'), port)
+    }
+
+/** A form that an answer must have. */
+private class Form(
+    private val regex: Regex,
+    private val rule: String,
+) {
+    fun accept(answer: String): String = answer.also { require(regex.matches(it)) { rule } }
+}
+
+private val ID = Form(Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}"), "must be 1 to 64 letters, digits, '.', '_' or '-'")
+private val URL = Form(Regex("http://([0-9.]+|\\[[0-9a-fA-F:]+]):\\d{1,5}"), "must be http://IP:PORT")
+private const val MAX_COUNT = 1_000
+private const val MAX_LOAD = 10_000
+private const val MAX_DEADLINE_MS = 600_000
+private const val MAX_STAGES = 6
+private const val MAX_PRIORITY = 9
+private const val MAX_PORT = 65_533
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/questionnaire/Plan.kt
@@ -0,0 +1,162 @@
+package io.monsoonpath.app.questionnaire
+
+import io.monsoonpath.model.Access
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.BackendSpec
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DomainSpec
+import io.monsoonpath.model.Endpoint
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.Fencing
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.ModelId
+import io.monsoonpath.model.ModelSpec
+import io.monsoonpath.model.PipelineId
+import io.monsoonpath.model.PipelineSpec
+import io.monsoonpath.model.PoolId
+import io.monsoonpath.model.PoolSpec
+import io.monsoonpath.model.Problem
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.Region
+import io.monsoonpath.model.RouteSpec
+import io.monsoonpath.model.Settings
+import io.monsoonpath.model.StageId
+import io.monsoonpath.model.StageSpec
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import io.monsoonpath.model.validate
+import kotlin.math.ceil
+
+/**
+ * What was worked out from a team's answers.
+ *
+ * @property settings the settings of each entry instance
+ * @property reasons a short text on why limits and capacities are what they are
+ */
+internal class Plan(
+    val configuration: Configuration,
+    val settings: List<Settings>,
+    val reasons: String,
+)
+
+/** Works out configuration, settings and reasons from the answers, or returns what is wrong with them. */
+internal fun Answers.toPlan(): Reading<Plan> {
+    val unresolved = unresolved()
+    if (unresolved.isNotEmpty()) return Reading.Invalid(unresolved)
+    val instanceSettings = instances.map { it.toSettings(this) }
+    val settingProblems =
+        instanceSettings.flatMapIndexed {
+            i,
+            settings,
+            ->
+            settings.validate().problems().map { it.under("$.instances[$i]") }
+        }
+    return when (val reading = toConfiguration().validate()) {
+        is Reading.Invalid -> Reading.Invalid(reading.problems + settingProblems)
+        is Reading.Valid ->
+            if (settingProblems.isEmpty()) {
+                Reading.Valid(Plan(reading.document, instanceSettings, reasons(reading.document)))
+            } else {
+                Reading.Invalid(settingProblems)
+            }
+    }
+}
+
+/** Returns what must be mended before anything can be worked out: names that lead nowhere, and numbers without meaning. */
+private fun Answers.unresolved(): List<Problem> {
+    val poolNames = pools.map { it.name }
+    val domains = places.flatMap { it.domains }
+    val problems = mutableListOf<Problem>()
+    pipelines.forEachIndexed { i, pipeline ->
+        if (pipeline.peakPerS <= 0) problems += Problem("$.pipelines[$i].peakPerS", "${pipeline.peakPerS}", "must be above 0")
+        pipeline.stages.forEachIndexed { j, stage ->
+            if (stage.pool !in poolNames) problems += Problem("$.pipelines[$i].stages[$j].pool", stage.pool, "must name a pool")
+        }
+    }
+    workspaces.forEachIndexed { i, workspace ->
+        if (workspace.share !in SHARES) problems += Problem("$.workspaces[$i].share", "${workspace.share}", "must lie from 1 to 1000")
+    }
+    instances.forEachIndexed { i, instance ->
+        if (instance.domain !in domains) problems += Problem("$.instances[$i].domain", instance.domain, "must name a failure domain")
+    }
+    return problems
+}
+
+private fun Answers.toConfiguration() =
+    Configuration(
+        revision = ConfigRevision(1),
+        domains = places.flatMap { place -> place.domains.map { DomainSpec(FailureDomain(it), Region(place.region)) } },
+        models = pools.flatMap { it.models }.distinct().map { toModel(it) },
+        pools = pools.map { pool -> PoolSpec(PoolId(pool.name), pool.kind, pool.models.map { toModel(it).id }) },
+        backends = pools.flatMap { pool -> pool.servers.map { it.toBackend(pool) } },
+        pipelines = pipelines.map { it.toPipeline(pools) },
+        routes = pipelines.map { it.toRoute() },
+        workspaces = workspaces.map { toWorkspace(it) },
+    )
+
+private fun toModel(text: String) =
+    ModelSpec(ModelId(text.substringBefore(':')), loadMb = text.substringAfter(':', "0").toIntOrNull() ?: -1)
+
+private fun ServerAnswer.toBackend(pool: PoolAnswer) =
+    BackendSpec(
+        id = BackendId(id),
+        url = address.toUrl(),
+        pool = PoolId(pool.name),
+        domain = FailureDomain(domain),
+        coldLoad = pool.parallelCold,
+        fullLoad = pool.parallel,
+        fencing = if (pool.checksFencing) Fencing.CHECKS else Fencing.IGNORES,
+    )
+
+private fun Endpoint.toUrl() = if (':' in host) "http://[$host]:$port" else "http://$host:$port"
+
+private fun PipelineAnswer.toPipeline(pools: List<PoolAnswer>) =
+    PipelineSpec(PipelineId(name), deadlineMs, stages.map { stage -> stage.toStage(pools.first { it.name == stage.pool }) })
+
+private fun StageAnswer.toStage(pool: PoolAnswer) =
+    StageSpec(StageId(name), pool.kind, PoolId(pool.name), path, mayRepeat, model?.let { ModelId(it) }, expectedMs)
+
+private fun PipelineAnswer.toRoute() =
+    RouteSpec(path, PipelineId(name), if (open) Access.OPEN else Access.KEYED, idempotent = stages.all { it.mayRepeat })
+
+/** Gives a workspace its share of the keyed peak with headroom, a burst of some seconds of it, and its share as weight. */
+private fun Answers.toWorkspace(workspace: WorkspaceAnswer): WorkspaceSpec {
+    val peakPerS = pipelines.filter { !it.open }.sumOf { it.peakPerS }
+    val ratePerS = peakPerS * workspace.share / workspaces.sumOf { it.share } * HEADROOM
+    return WorkspaceSpec(
+        id = WorkspaceId(workspace.name),
+        rateMilliPerS = ceil(ratePerS * MILLI).toLong().coerceAtLeast(1),
+        burst = ceil(ratePerS * BURST_S).toInt().coerceAtLeast(MIN_BURST),
+        weight = workspace.share,
+        priority = workspace.priority,
+    )
+}
+
+private fun InstanceAnswer.toSettings(answers: Answers) =
+    Settings(
+        instance = InstanceId(id),
+        region = Region(answers.places.first { domain in it.domains }.region),
+        failureDomain = FailureDomain(domain),
+        caller = Endpoint(host, firstPort),
+        peer = Endpoint(host, firstPort + 1),
+        operator = Endpoint(host, firstPort + 2),
+        platformUrl = answers.platformUrl,
+        peerSecretFile = "peer.secret",
+    )
+
+private fun Reading<*>.problems() = (this as? Reading.Invalid)?.problems.orEmpty()
+
+private fun Problem.under(path: String) = copy(path = path + this.path.removePrefix("$"))
+
+/** A workspace's rate stands this far above its share of the peak. */
+internal const val HEADROOM = 1.5
+
+/** A workspace's burst is what its rate brings in this time. */
+internal const val BURST_S = 4
+
+/** The least burst, so that a small workspace can send a few requests at once. */
+internal const val MIN_BURST = 4
+
+private const val MILLI = 1_000
+private val SHARES = 1..1_000
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/questionnaire/Reasons.kt
@@ -0,0 +1,82 @@
+package io.monsoonpath.app.questionnaire
+
+import io.monsoonpath.model.Configuration
+import java.util.Locale
+import kotlin.math.ceil
+
+/** Returns a short text on why the limits are what they are, and whether the pools carry the peak with a failure domain out. */
+internal fun Answers.reasons(configuration: Configuration): String =
+    buildString {
+        appendLine("# $name: why the configuration is as it is")
+        appendLine()
+        appendLine("## Limits of workspaces")
+        appendLine("Rate: the workspace's share of the keyed peak, times $HEADROOM.")
+        appendLine("Burst: what the rate brings in $BURST_S s, at least $MIN_BURST.")
+        configuration.workspaces.forEach {
+            appendLine("- ${it.id}: ${perS(it.rateMilliPerS / MILLI)} requests/s, burst ${it.burst}, weight ${it.weight}")
+        }
+        appendLine()
+        appendLine("## Capacity of pools at the peak")
+        pools.forEach { append(capacityLines(it)) }
+        appendLine()
+        appendLine("## Deadlines")
+        pipelines.forEach { appendLine(deadlineLine(it)) }
+        appendLine()
+        appendLine("## Next steps")
+        appendLine("1. Put one secret of at least 32 characters into peer.secret, the same for all entry instances.")
+        appendLine("2. Issue a key for each workspace: monsoonpath config key issue configuration.json WORKSPACE -o configuration.json")
+        appendLine("3. Publish configuration.json on the platform.")
+        appendLine("4. Start monsoonpath serve --settings settings-INSTANCE.json on each instance.")
+    }
+
+private fun Answers.capacityLines(pool: PoolAnswer): String {
+    val need = neededPerS(pool)
+    val all = capacityPerS(pool, pool.servers.size)
+    val domains = pool.servers.map { it.domain }.distinct()
+    val left = domains.minOf { out -> capacityPerS(pool, pool.servers.count { it.domain != out }) }
+    val verdict =
+        when {
+            need > all -> "TOO SMALL: add ${serversFor(pool, need) - pool.servers.size} servers"
+            need > left -> "enough, but not with a failure domain out: add servers or accept shed load then"
+            else -> "enough, also with a failure domain out"
+        }
+    return "- ${pool.name}: needs ${perS(need)} calls/s, carries ${perS(all)}, with the worst failure domain out ${perS(left)}: $verdict\n"
+}
+
+private fun Answers.neededPerS(pool: PoolAnswer) =
+    pipelines.sumOf { pipeline -> pipeline.peakPerS * pipeline.stages.count { it.pool == pool.name } }
+
+/** A server of the pool carries its parallel requests, each for the mean of the stages' expected durations. */
+private fun Answers.capacityPerS(
+    pool: PoolAnswer,
+    servers: Int,
+): Double = servers * pool.parallel * MS_PER_S / meanMs(pool)
+
+private fun Answers.meanMs(pool: PoolAnswer): Double {
+    val calls = pipelines.flatMap { pipeline -> pipeline.stages.filter { it.pool == pool.name }.map { pipeline.peakPerS to it.expectedMs } }
+    val total = calls.sumOf { it.first }
+    return if (total == 0.0) MS_PER_S else calls.sumOf { (peakPerS, ms) -> peakPerS * ms } / total
+}
+
+private fun Answers.serversFor(
+    pool: PoolAnswer,
+    needPerS: Double,
+): Int = ceil(needPerS / capacityPerS(pool, 1)).toInt()
+
+private fun deadlineLine(pipeline: PipelineAnswer): String {
+    val expectedMs = pipeline.stages.sumOf { it.expectedMs }
+    val verdict =
+        if (expectedMs * 2 >
+            pipeline.deadlineMs
+        ) {
+            "TIGHT: less than twice the expected time"
+        } else {
+            "leaves room for queues and one retry"
+        }
+    return "- ${pipeline.name}: ${pipeline.deadlineMs} ms for stages that take $expectedMs ms: $verdict"
+}
+
+private fun perS(value: Double) = "%.1f".format(Locale.ROOT, value)
+
+private const val MILLI = 1_000.0
+private const val MS_PER_S = 1_000.0
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/questionnaire/PlanTest.kt
@@ -0,0 +1,103 @@
+package io.monsoonpath.app.questionnaire
+
+import io.monsoonpath.app.command.documents
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.StageKind
+import io.monsoonpath.model.readAs
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class PlanTest {
+    @TestFactory
+    fun `the examples are what init writes from their answers`(): List<DynamicTest> =
+        listOf("kovacs", "cesped").map { user ->
+            dynamicTest(user) {
+                val directory = File("../examples/$user")
+                val answers = answersIn(directory)
+                val plan = assertIs<Reading.Valid<Plan>>(answers.toPlan()).document
+                val expected = directory.listFiles().orEmpty().associate { it.name to it.readText() }
+                assertEquals(expected.toSortedMap(), plan.documents(answers).toSortedMap(), "rerun init on ${directory.name}/answers.json")
+            }
+        }
+
+    private class Case(
+        val name: String,
+        val change: (Answers) -> Answers,
+        val path: String,
+    )
+
+    private val faults =
+        listOf(
+            Case("peak of zero", { it.changePipeline { p -> p.copy(peakPerS = 0.0) } }, "$.pipelines[0].peakPerS"),
+            Case("unknown pool", { it.changePipeline { p -> p.copy(stages = p.stages.map { s -> s.copy(pool = "x") }) } }, STAGE_POOL),
+            Case("seven stages", { it.changePipeline { p -> p.copy(stages = List(7) { i -> p.stages[0].copy(name = "s$i") }) } }, STAGES),
+            Case("share of zero", { it.copy(workspaces = it.workspaces.map { w -> w.copy(share = 0) }) }, "$.workspaces[0].share"),
+            Case("unknown domain", { it.copy(instances = it.instances.map { i -> i.copy(domain = "x") }) }, "$.instances[0].domain"),
+            Case("cold above warm", { it.copy(pools = it.pools.map { p -> p.copy(parallelCold = 99) }) }, "$.backends[0].coldLoad"),
+            Case("port out of range", { it.copy(instances = it.instances.map { i -> i.copy(firstPort = 70_000) }) }, PORT),
+            Case("model without a size in MB", {
+                it.copy(
+                    pools =
+                        it.pools.map { p ->
+                            p.copy(models = listOf("m:big"))
+                        },
+                )
+            }, "$.models[0].loadMb"),
+        )
+
+    @TestFactory
+    fun `faulty answers are named by their path`(): List<DynamicTest> =
+        faults.map { case ->
+            dynamicTest(case.name) {
+                val problems = assertIs<Reading.Invalid>(case.change(answersIn(File("../examples/kovacs"))).toPlan()).problems
+                assertTrue(problems.any { it.path == case.path }, "expected ${case.path} among $problems")
+            }
+        }
+
+    @Test
+    fun `the dialogue asks again after a bad answer and ends with the input`() {
+        val console = Script(DIALOGUE)
+        val answers = console.askAnswers()
+        assertEquals(listOf("  'x': must be a whole number", "  'fdX': must be one of fd1, fd2"), console.shown)
+        assertEquals(StageKind.SERVICE, answers.pools.single().kind)
+        assertIs<Reading.Valid<Plan>>(answers.toPlan())
+        assertFailsWith<DialogueEndedException> { Script(DIALOGUE.dropLast(1)).askAnswers() }
+    }
+
+    private class Script(
+        lines: List<String>,
+    ) : Console {
+        private val rest = ArrayDeque(lines)
+        val shown = mutableListOf<String>()
+
+        override fun show(text: String) {
+            shown += text
+        }
+
+        override fun askOrNull(prompt: String): String? = rest.removeFirstOrNull()
+    }
+
+    private fun answersIn(directory: File) =
+        assertIs<Reading.Valid<Answers>>(readAs(File(directory, "answers.json").readText(), Answers.serializer())).document
+
+    private fun Answers.changePipeline(change: (PipelineAnswer) -> PipelineAnswer) =
+        copy(pipelines = listOf(change(pipelines.first())) + pipelines.drop(1))
+
+    private companion object {
+        const val STAGE_POOL = "$.pipelines[0].stages[0].pool"
+        const val STAGES = "$.pipelines[0].stages.size"
+        const val PORT = "$.instances[0].caller.port"
+        val DIALOGUE =
+            listOf("Test", "x", "1", "r1", "fd1, fd2", "http://127.0.0.1:8500", "1", "e1", "fd1", "127.0.0.1:8080") +
+                listOf("1", "orders", "service", "8", "2", "1", "fdX", "fd2", "127.0.0.1:9000") +
+                listOf("1", "order", "/v1/orders", "2000", "5", "no", "1", "reserve", "orders", "/reserve", "50", "no") +
+                listOf("1", "dealers", "10", "0")
+    }
+}
--- a/model/src/main/kotlin/io/monsoonpath/model/Documents.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Documents.kt
@@ -24,6 +24,12 @@
 /** Reads an instance list from [text]. */
 fun readInstanceList(text: String): Reading<InstanceList> = readDocument(text, InstanceList.serializer(), InstanceList::validate)
 
+/** Reads a document of another kind from [text], with the same bounds and messages; ranges are the caller's to check. */
+fun <T> readAs(
+    text: String,
+    serializer: KSerializer<T>,
+): Reading<T> = readDocument(text, serializer) { Reading.Valid(it) }
+
 private fun <T> readDocument(
     text: String,
     serializer: KSerializer<T>,
