Resume a stream on another engine at the next token

A lost engine ended the stream it ran. A state machine over numbered tokens now decides what is delivered, when another engine goes on and which exported cache it may import; an export beyond the last delivered token is not used, since it would skip some.

--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/stream/TokenStream.kt
@@ -0,0 +1,107 @@
+package io.monsoonpath.policy.stream
+
+import io.monsoonpath.model.AttemptId
+import io.monsoonpath.model.BackendId
+
+/**
+ * One generated stream over however many engines it takes: every token is delivered once and in order.
+ *
+ * Tokens are numbered over the whole stream. After the loss of an engine another one goes on at the next number. Tokens that are
+ * late, doubled or from an earlier engine are not delivered; a gap means that the engine's stream is not to be trusted, and counts
+ * as a loss.
+ * Single-threaded: the caller guards it.
+ *
+ * @param firstEngine the engine of the first attempt
+ */
+class TokenStream<T>(
+    firstEngine: BackendId,
+) {
+    private var phase: Phase = Phase.Streaming(AttemptId(1), firstEngine)
+    private var nextSeq = 0
+    private var export: KvExport? = null
+    private val lost = LinkedHashSet<BackendId>()
+
+    /** The number of tokens delivered so far. */
+    val delivered: Int get() = nextSeq
+
+    /** Takes [input] and returns what is to be done, in order. */
+    fun on(input: StreamInput<T>): List<StreamEffect<T>> =
+        when (input) {
+            is StreamInput.Token -> onToken(input)
+            is StreamInput.Exported -> onExported(input)
+            is StreamInput.Ended -> onEnded(input)
+            is StreamInput.Lost -> if (engineOrNull(input.attempt) == null) emptyList() else resume(cancel = false)
+            is StreamInput.Resumed -> onResumed(input)
+            StreamInput.NoEngine -> onNoEngine()
+            StreamInput.Abandoned -> cancelRunning().also { phase = Phase.Done }
+        }
+
+    private fun onToken(input: StreamInput.Token<T>): List<StreamEffect<T>> {
+        if (engineOrNull(input.attempt) == null || input.seq < nextSeq) return emptyList()
+        if (input.seq > nextSeq) return resume(cancel = true)
+        nextSeq++
+        return listOf(StreamEffect.Deliver(input.seq, input.token))
+    }
+
+    private fun onExported(input: StreamInput.Exported): List<StreamEffect<T>> {
+        val usable = engineOrNull(input.attempt) != null && input.export.tokens > (export?.tokens ?: 0)
+        if (usable) export = input.export
+        return emptyList()
+    }
+
+    private fun onEnded(input: StreamInput.Ended): List<StreamEffect<T>> {
+        if (engineOrNull(input.attempt) == null) return emptyList()
+        if (input.tokens != nextSeq) return resume(cancel = false)
+        phase = Phase.Done
+        return listOf(StreamEffect.Complete(nextSeq))
+    }
+
+    private fun onResumed(input: StreamInput.Resumed): List<StreamEffect<T>> {
+        val waiting = phase as? Phase.Resuming
+        if (waiting == null || waiting.attempt != input.attempt) return listOf(StreamEffect.Cancel(input.attempt, input.backend))
+        phase = Phase.Streaming(input.attempt, input.backend)
+        return emptyList()
+    }
+
+    private fun onNoEngine(): List<StreamEffect<T>> = if (phase is Phase.Resuming) fail(StreamFailure.NO_ENGINE) else emptyList()
+
+    private fun resume(cancel: Boolean): List<StreamEffect<T>> {
+        val streaming = phase as? Phase.Streaming ?: return emptyList()
+        val cancelled = if (cancel) cancelRunning() else emptyList()
+        lost += streaming.engine
+        if (lost.size > MAX_LOST_ENGINES) return cancelled + fail(StreamFailure.TOO_MANY_ENGINES_LOST)
+        val next = AttemptId(streaming.attempt.value + 1)
+        phase = Phase.Resuming(next)
+        return cancelled + StreamEffect.Resume(next, nextSeq, usableExportOrNull(), lost.toSet())
+    }
+
+    /** An export that reaches past the last delivered token would skip some; the engine cannot cut it. */
+    private fun usableExportOrNull(): KvExport? = export?.takeIf { it.tokens <= nextSeq }
+
+    private fun fail(failure: StreamFailure): List<StreamEffect<T>> {
+        phase = Phase.Done
+        return listOf(StreamEffect.Fail(failure))
+    }
+
+    private fun cancelRunning(): List<StreamEffect<T>> =
+        (phase as? Phase.Streaming)?.let { listOf(StreamEffect.Cancel(it.attempt, it.engine)) }.orEmpty()
+
+    private fun engineOrNull(attempt: AttemptId): BackendId? = (phase as? Phase.Streaming)?.takeIf { it.attempt == attempt }?.engine
+
+    private sealed interface Phase {
+        data class Streaming(
+            val attempt: AttemptId,
+            val engine: BackendId,
+        ) : Phase
+
+        data class Resuming(
+            val attempt: AttemptId,
+        ) : Phase
+
+        data object Done : Phase
+    }
+
+    private companion object {
+        const val MAX_LOST_ENGINES = 3
+    }
+}
