--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/placement/EnginePlacement.kt
@@ -0,0 +1,113 @@
+package io.monsoonpath.policy.placement
+
+import io.monsoonpath.model.ModelId
+import io.monsoonpath.model.ModelSpec
+
+/**
+ * Decides the next orders to a pool's engines from what they run and what they should run.
+ *
+ * Each call gives only orders that are safe at once; the next call sees their effect. An engine is reloaded only if its model keeps a warm,
+ * usable copy elsewhere, and its streams are moved first. New versions come in one engine at a time.
+ */
+class EnginePlacement(
+    private val budget: LoadBudget,
+) {
+    /**
+     * Returns the orders for now.
+     *
+     * @param targets the number of engines that each model is to have
+     */
+    fun orders(
+        engines: List<EngineState>,
+        models: List<ModelSpec>,
+        targets: Map<ModelId, Int>,
+        nowMs: Long,
+    ): List<EngineOrder> {
+        val plan = Plan(engines, models.associateBy { it.id }, targets)
+        val loads = plan.loads().takeWhileAllowed(engines.count { it.loading != null }, nowMs)
+        return loads + plan.adapters()
+    }
+
+    private fun List<EngineOrder>.takeWhileAllowed(
+        running: Int,
+        nowMs: Long,
+    ): List<EngineOrder> {
+        var started = running
+        return takeWhile { it !is EngineOrder.Load || budget.tryStart(started++, nowMs) }
+    }
+}
+
+/** The state of one round of orders. */
+private class Plan(
+    private val engines: List<EngineState>,
+    private val models: Map<ModelId, ModelSpec>,
+    private val targets: Map<ModelId, Int>,
+) {
+    private val busy = engines.filter { it.loading != null || !it.usable }.mapTo(HashSet()) { it.id }
+    private val known = targets.keys + engines.mapNotNull { it.loaded?.model }
+    private val copies = known.associateWithTo(HashMap()) { model -> engines.count { it.usable && it.runs(model) } }
+
+    fun loads(): List<EngineOrder> = newCopies() + newVersions()
+
+    fun adapters(): List<EngineOrder> =
+        engines.filter { it.id !in busy }.flatMap { engine ->
+            val loaded = engine.loaded
+            val wanted = loaded?.let { models[it.model] }?.adapters.orEmpty()
+            wanted.filter { it !in loaded?.adapters.orEmpty() }.map { EngineOrder.LoadAdapter(engine.id, it) }
+        }
+
+    /** Gives the models that lack the most engines one each. */
+    private fun newCopies(): List<EngineOrder> =
+        targets.keys
+            .filter { it in models && missing(it) > 0 }
+            .sortedWith(compareBy({ copies.getValue(it) > 0 }, { -missing(it) }, { it }))
+            .flatMap { model -> spareFor(model)?.let { place(it, models.getValue(model)) }.orEmpty() }
+
+    /** Replaces one engine of an old version for each model, while no other engine of that model is loading. */
+    private fun newVersions(): List<EngineOrder> =
+        models.values.flatMap { spec ->
+            val updating = engines.any { it.loading?.model == spec.id }
+            val old = engines.filter { it.id !in busy && it.loaded?.model == spec.id && it.loaded.version < spec.version }
+            if (updating) emptyList() else old.firstOrNull { hasOtherWarmCopy(it) }?.let { place(it, spec) }.orEmpty()
+        }
+
+    private fun missing(model: ModelId) = wanted(model) - copies.getValue(model)
+
+    /** A model whose only copy is of an old version needs a second copy for a while, so that the old one can be replaced. */
+    private fun wanted(model: ModelId): Int {
+        val target = targets[model] ?: 0
+        val version = models[model]?.version ?: return target
+        val onlyOld = target == 1 && engines.any { it.usable && it.loaded?.model == model && it.loaded.version < version }
+        return if (onlyOld) target + 1 else target
+    }
+
+    /** Prefers an empty engine, then one of the model with the most to spare; a new failure domain goes before one already used. */
+    private fun spareFor(model: ModelId): EngineState? {
+        val used = engines.filter { it.usable && it.runs(model) }.mapTo(HashSet()) { it.domain }
+        return engines
+            .filter { it.id !in busy && !it.runs(model) && isSpare(it) }
+            .minWithOrNull(compareBy({ it.loaded != null }, { it.domain in used }, { it.streams }, { it.id }))
+    }
+
+    private fun isSpare(engine: EngineState): Boolean {
+        val model = engine.loaded?.model ?: return true
+        val wanted = wanted(model)
+        return copies.getOrDefault(model, 0) > wanted && (wanted == 0 || hasOtherWarmCopy(engine))
+    }
+
+    private fun hasOtherWarmCopy(engine: EngineState): Boolean =
+        engines.any { it.id != engine.id && it.id !in busy && it.usable && it.warm && it.loaded?.model == engine.loaded?.model }
+
+    private fun place(
+        engine: EngineState,
+        spec: ModelSpec,
+    ): List<EngineOrder> {
+        busy += engine.id
+        engine.loaded?.let { copies.computeIfPresent(it.model) { _, n -> n - 1 } }
+        copies.computeIfPresent(spec.id) { _, n -> n + 1 }
+        if (engine.streams > 0) return listOf(EngineOrder.MoveStreams(engine.id))
+        return listOf(EngineOrder.Load(engine.id, LoadedModel(spec.id, spec.version, spec.adapters.toSet())))
+    }
+
+    private fun EngineState.runs(model: ModelId) = loaded?.model == model || loading?.model == model
+}
--- /dev/null
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/placement/ReplicaTargets.kt
@@ -0,0 +1,71 @@
+package io.monsoonpath.policy.placement
+
+import io.monsoonpath.model.ModelId
+import kotlin.math.ceil
+
+/**
+ * How many engines each model is to have, from the observed demand, with hysteresis.
+ *
+ * A model gains an engine once its engines have been above [HIGH_UTILISATION] for [RAISE_AFTER_MS], and gives one up once one fewer would
+ * have stayed below [LOW_UTILISATION] for [LOWER_AFTER_MS]: a load costs far more than a while of spare capacity. Single-threaded.
+ */
+class ReplicaTargets {
+    private val states = HashMap<ModelId, TargetState>()
+
+    /**
+     * Takes the demand and returns the number of engines for each model; every model has at least one.
+     *
+     * @param demand the requests in flight and waiting for each model, averaged over some seconds
+     * @param engineLoad the requests that one warm engine bears at once
+     */
+    fun update(
+        demand: Map<ModelId, Double>,
+        engineLoad: Int,
+        nowMs: Long,
+    ): Map<ModelId, Int> {
+        require(engineLoad > 0) { "engineLoad must be positive: $engineLoad" }
+        states.keys.retainAll(demand.keys)
+        return demand.mapValues { (model, load) -> target(model, load / engineLoad, nowMs) }
+    }
+
+    private fun target(
+        model: ModelId,
+        engines: Double,
+        nowMs: Long,
+    ): Int {
+        val state = states.getOrPut(model) { TargetState(ceil(engines / HIGH_UTILISATION).toInt().coerceAtLeast(1)) }
+        state.highSinceMs = if (engines > HIGH_UTILISATION * state.target) state.highSinceMs ?: nowMs else null
+        state.lowSinceMs = if (engines < LOW_UTILISATION * (state.target - 1)) state.lowSinceMs ?: nowMs else null
+        if (state.highSinceMs.isOlder(RAISE_AFTER_MS, nowMs)) {
+            state.move(ceil(engines / HIGH_UTILISATION).toInt())
+        } else if (state.lowSinceMs.isOlder(LOWER_AFTER_MS, nowMs)) {
+            state.move(state.target - 1)
+        }
+        return state.target
+    }
+
+    private fun Long?.isOlder(
+        ageMs: Long,
+        nowMs: Long,
+    ): Boolean = this != null && nowMs - this >= ageMs
+
+    private class TargetState(
+        var target: Int,
+    ) {
+        var highSinceMs: Long? = null
+        var lowSinceMs: Long? = null
+
+        fun move(to: Int) {
+            target = to.coerceAtLeast(1)
+            highSinceMs = null
+            lowSinceMs = null
+        }
+    }
+
+    private companion object {
+        const val HIGH_UTILISATION = 0.75
+        const val LOW_UTILISATION = 0.5
+        const val RAISE_AFTER_MS = 10_000L
+        const val LOWER_AFTER_MS = 120_000L
+    }
+}
