--- a/app/src/main/kotlin/io/monsoonpath/app/config/ConfigurationView.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/config/ConfigurationView.kt
@@ -1,9 +1,11 @@
 package io.monsoonpath.app.config
 
+import io.monsoonpath.model.BackendId
 import io.monsoonpath.model.BackendSpec
 import io.monsoonpath.model.Configuration
 import io.monsoonpath.model.DomainSpec
 import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.InstanceId
 import io.monsoonpath.model.KeySpec
 import io.monsoonpath.model.PipelineId
 import io.monsoonpath.model.PipelineSpec
@@ -22,8 +24,16 @@
     private val backends: Map<PoolId, List<BackendSpec>> = configuration.backends.groupBy { it.pool }
     private val domains: Map<FailureDomain, DomainSpec> = configuration.domains.associateBy { it.id }
 
-    /** The keys that may be presented, withdrawn ones included, so that their refusal can say so. */
-    val keys: List<KeySpec> get() = configuration.keys
+    private val keys: Map<String, KeySpec> = configuration.keys.associateBy { it.id.value }
+    private val backendsById: Map<BackendId, BackendSpec> = configuration.backends.associateBy { it.id }
+    private val instancesOut: Set<InstanceId> = configuration.instancesOut.toSet()
+    private val serving: Map<PoolId, List<BackendSpec>> = backends.mapValues { (_, all) -> all.filter { it.isInService() } }
+
+    /** Returns the key with the public [id], be it in force or withdrawn, or null. */
+    fun keyOrNull(id: String): KeySpec? = keys[id]
+
+    /** Tells whether [key] is still in force, unchanged. */
+    fun isInForce(key: KeySpec): Boolean = !key.withdrawn && keys[key.id.value] == key
 
     /** Returns the route at [path], or null. */
     fun routeOrNull(path: String): RouteSpec? = routes[path]
@@ -35,8 +45,19 @@
     fun workspace(id: WorkspaceId): WorkspaceSpec = workspaces.getValue(id)
 
     /** Returns the backend servers of [pool] that may receive new work. */
-    fun serving(pool: PoolId): List<BackendSpec> = backends[pool].orEmpty().filter { mayReceive(it) }
+    fun serving(pool: PoolId): List<BackendSpec> = serving[pool].orEmpty()
+
+    /** Tells whether [backend] may receive new work: it is still published, not leaving, and its failure domain is in service. */
+    fun mayReceive(backend: BackendSpec): Boolean {
+        val current = backendsById[backend.id] ?: return false
+        return current.url == backend.url && current.isInService()
+    }
+
+    /** Tells whether operators took [instance], or the failure domain that it is in, out of service. */
+    fun isOut(
+        instance: InstanceId,
+        domain: FailureDomain,
+    ): Boolean = instance in instancesOut || domains[domain]?.out == true
 
-    /** Tells whether [backend] may receive new work: it is not leaving, and its failure domain is in service. */
-    fun mayReceive(backend: BackendSpec): Boolean = !backend.leaving && domains[backend.domain]?.out == false
+    private fun BackendSpec.isInService() = !leaving && domains[domain]?.out == false
 }
--- a/app/src/main/kotlin/io/monsoonpath/app/event/EventLog.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/event/EventLog.kt
@@ -6,11 +6,13 @@
 import io.monsoonpath.model.EventSink
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.InstanceId
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReferenceArray
 
 /**
  * The newest events of one process, at most [capacity] of them.
  *
- * Sequence numbers have no gaps, so a reader sees how many older events were dropped.
+ * Sequence numbers have no gaps, so a reader sees how many older events were dropped. Writers never wait for one another.
  */
 internal class EventLog(
     private val instance: InstanceId,
@@ -18,25 +20,43 @@
     private val clock: ClockMs,
     private val capacity: Int = DEFAULT_CAPACITY,
 ) : EventSink {
-    private val records = ArrayDeque<EventRecord>(capacity)
-    private var lastSeq = 0L
+    private val slots: AtomicReferenceArray<EventRecord?>
+    private val last = AtomicLong()
 
     init {
         require(capacity > 0) { "capacity must be positive, was $capacity" }
+        slots = AtomicReferenceArray(capacity)
     }
 
-    override fun emit(event: Event): Unit =
-        synchronized(records) {
-            if (records.size == capacity) records.removeFirst()
-            lastSeq++
-            records.addLast(EventRecord(instance, incarnation, lastSeq, clock.nowMs(), event))
-        }
+    /** The sequence number of the newest event, or 0 before the first. */
+    val lastSeq: Long get() = last.get()
+
+    /** The number of events that are no longer kept. */
+    val dropped: Long get() = (lastSeq - capacity).coerceAtLeast(0)
+
+    override fun emit(event: Event) {
+        val seq = last.incrementAndGet()
+        slots.set(slotOf(seq), EventRecord(instance, incarnation, seq, clock.nowMs(), event))
+    }
 
     /** Returns the kept events with a sequence number above [seq], in order, at most [limit] of them. */
     fun after(
         seq: Long,
         limit: Int = capacity,
-    ): List<EventRecord> = synchronized(records) { records.filter { it.seq > seq }.take(limit) }
+    ): List<EventRecord> {
+        val newest = lastSeq
+        val first = maxOf(seq + 1, newest - capacity + 1)
+        return (first..newest)
+            .asSequence()
+            .map { it to slots.get(slotOf(it)) }
+            .filterNot { (wanted, record) -> record != null && record.seq > wanted }
+            .takeWhile { (wanted, record) -> record?.seq == wanted }
+            .mapNotNull { it.second }
+            .take(limit)
+            .toList()
+    }
+
+    private fun slotOf(seq: Long) = (seq % capacity).toInt()
 
     private companion object {
         const val DEFAULT_CAPACITY = 16_384
--- a/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
@@ -1,73 +1,147 @@
 package io.monsoonpath.app.http
 
+import com.linecorp.armeria.client.RequestOptions
+import com.linecorp.armeria.client.ResponseTimeoutException
+import com.linecorp.armeria.client.SessionProtocolNegotiationException
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
-import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ResponseHeaders
+import io.monsoonpath.app.request.Mismatch
+import io.monsoonpath.app.request.RequestMetrics
+import io.monsoonpath.app.request.SendResult
 import io.monsoonpath.app.request.StageCall
 import io.monsoonpath.app.request.StageSender
-import io.monsoonpath.app.request.refused
-import io.monsoonpath.model.Outcome
-import io.monsoonpath.model.Ran
-import io.monsoonpath.model.RefusalReason
-import io.monsoonpath.model.Step
+import io.monsoonpath.app.request.Token
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
+import java.net.ConnectException
+import java.net.UnknownHostException
 import java.util.concurrent.ConcurrentHashMap
 
 /** Sends attempts to backend servers over HTTP and checks that each answer is the one asked for. */
-internal class BackendSender : StageSender {
+internal class BackendSender(
+    private val metrics: RequestMetrics,
+    private val maxAnswerBytes: Long = DEFAULT_MAX_ANSWER_BYTES,
+) : StageSender {
     private val clients = ConcurrentHashMap<String, WebClient>()
 
-    override suspend fun send(call: StageCall): Outcome<ByteArray> =
+    override suspend fun send(call: StageCall): SendResult =
+        exchange(call, MediaType.JSON) { response ->
+            val answer = response.aggregate().await()
+            checkHead(call, answer.headers())
+                ?: SendResult.Answered(answer.content().array(), answer.headers().get(INCARNATION_HEADER))
+        }
+
+    override suspend fun stream(
+        call: StageCall,
+        deliver: suspend (Token) -> Boolean,
+    ): SendResult =
+        exchange(call, MediaType.EVENT_STREAM) { response ->
+            val parts = response.split()
+            val head = parts.headers().await()
+            checkHead(call, head) ?: readTokens(parts.body(), head.get(INCARNATION_HEADER), deliver)
+        }
+
+    /** Sends [call], lets [read] take the answer, and leaves nothing of it behind when it ends early. */
+    private suspend fun exchange(
+        call: StageCall,
+        accept: MediaType,
+        read: suspend (HttpResponse) -> SendResult,
+    ): SendResult {
+        val request = HttpRequest.of(headers(call, accept), HttpData.wrap(call.body))
+        val options = RequestOptions.builder().responseTimeoutMillis(call.budgetMs).build()
+        val response = client(call.backend.url).execute(request, options)
         try {
-            check(call, client(call.backend.url).execute(headers(call), HttpData.wrap(call.body)).aggregate().await())
+            return read(response)
         } catch (e: CancellationException) {
             throw e
-        } catch (e: UnprocessedRequestException) {
-            failure(call, "cannot be reached: ${e.cause?.javaClass?.simpleName}", Ran.NOT_RUN)
         } catch (e: Exception) {
-            failure(call, "did not answer: ${e.javaClass.simpleName}", ranIfSent(call))
+            return e.toResult()
+        } finally {
+            response.abort()
         }
+    }
 
-    private fun client(url: String) = clients.computeIfAbsent(url) { WebClient.builder(it).responseTimeoutMillis(0).build() }
+    private fun client(url: String): WebClient = clients[url] ?: clients.computeIfAbsent(url, ::newClient)
 
-    private fun headers(call: StageCall): RequestHeaders =
-        RequestHeaders
-            .builder()
-            .method(HttpMethod.POST)
-            .path(call.stage.path)
-            .contentType(MediaType.JSON)
-            .add(REQUEST_ID_HEADER, call.exchange.id.value)
-            .add(STAGE_HEADER, call.stage.id.value)
-            .add(ATTEMPT_HEADER, call.attempt.toString())
-            .addLong(DEADLINE_HEADER, call.remainingMs)
+    private fun newClient(url: String) =
+        WebClient
+            .builder(url)
+            .responseTimeoutMillis(0)
+            .maxResponseLength(maxAnswerBytes)
             .build()
 
-    private fun check(
+    private fun headers(
         call: StageCall,
-        answer: AggregatedHttpResponse,
-    ): Outcome<ByteArray> =
-        when {
-            answer.status() != HttpStatus.OK -> failure(call, "answered ${answer.status().code()}", ranIfSent(call))
-            !answer.isFor(call) -> failure(call, "answered another request", ranIfSent(call))
-            else -> Outcome.Ok(answer.content().array())
-        }
+        accept: MediaType,
+    ): RequestHeaders {
+        val headers =
+            RequestHeaders
+                .builder(HttpMethod.POST, call.stage.path)
+                .contentType(MediaType.JSON)
+                .add(HttpHeaderNames.ACCEPT, accept.toString())
+                .add(REQUEST_ID_HEADER, call.exchange.id.value)
+                .add(STAGE_HEADER, call.stage.id.value)
+                .add(ATTEMPT_HEADER, call.attempt.toString())
+                .addLong(DEADLINE_HEADER, call.budgetMs)
+        call.exchange.workspace?.let { headers.addInt(PRIORITY_HEADER, it.priority) }
+        if (call.firstToken > 0) headers.addLong(RESUME_HEADER, call.firstToken)
+        call.kvFrom?.let { headers.add(KV_FROM_HEADER, it.url) }
+        return headers.build()
+    }
 
-    private fun AggregatedHttpResponse.isFor(call: StageCall) =
-        headers().get(REQUEST_ID_HEADER) == call.exchange.id.value &&
-            headers().get(STAGE_HEADER) == call.stage.id.value &&
-            headers().get(ATTEMPT_HEADER) == call.attempt.toString()
+    /** Returns what is wrong with the head of an answer to [call], or null. */
+    private fun checkHead(
+        call: StageCall,
+        head: ResponseHeaders,
+    ): SendResult? {
+        val status = head.status()
+        if (status != HttpStatus.OK) {
+            return SendResult.Failed("answered ${status.code()}", status.isServerError || status == HttpStatus.TOO_MANY_REQUESTS)
+        }
+        val mismatch = head.mismatchOrNull(call) ?: return null
+        metrics.dropped(mismatch)
+        return SendResult.Failed("sent an answer that was not asked for: $mismatch")
+    }
+}
 
-    private fun ranIfSent(call: StageCall) = if (call.stage.idempotent) Ran.NOT_RUN else Ran.UNKNOWN
+private fun ResponseHeaders.mismatchOrNull(call: StageCall): Mismatch? {
+    val request = get(REQUEST_ID_HEADER)
+    val stage = get(STAGE_HEADER)
+    val attempt = get(ATTEMPT_HEADER)
+    return when {
+        request == null || stage == null || attempt == null -> Mismatch.UNMARKED
+        request != call.exchange.id.value -> Mismatch.FOREIGN_REQUEST
+        stage != call.stage.id.value -> Mismatch.OTHER_STAGE
+        attempt != call.attempt.toString() -> Mismatch.LATE_ATTEMPT
+        else -> null
+    }
+}
 
-    private fun failure(
-        call: StageCall,
-        detail: String,
-        ran: Ran,
-    ) = refused(RefusalReason.BACKEND_FAILED, Step.ANSWER, "${call.backend.id} $detail", peer = call.backend.id.value, ran = ran)
+/**
+ * Only a failure to set up a connection proves that nothing was sent.
+ *
+ * The client reports requests as unprocessed in other cases too: a write that failed on a closing connection may have sent a
+ * part, and a stream that the peer refused (GOAWAY, REFUSED_STREAM) has been sent to it.
+ */
+private fun Exception.toResult(): SendResult {
+    val reason = (cause ?: this).javaClass.simpleName
+    return when {
+        this is ResponseTimeoutException -> SendResult.TimedOut
+        this is UnprocessedRequestException && cause.isConnectFailure() -> SendResult.NotSent("cannot be reached: $reason")
+        else -> SendResult.Failed("did not answer: $reason")
+    }
 }
+
+private fun Throwable?.isConnectFailure() =
+    this is ConnectException || this is UnknownHostException || this is SessionProtocolNegotiationException
+
+private const val DEFAULT_MAX_ANSWER_BYTES = 67_108_864L
--- a/app/src/main/kotlin/io/monsoonpath/app/http/CallerService.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/CallerService.kt
@@ -1,37 +1,45 @@
 package io.monsoonpath.app.http
 
-import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
-import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.util.TimeoutMode
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
 import io.monsoonpath.app.config.ConfigurationView
 import io.monsoonpath.app.request.Answer
 import io.monsoonpath.app.request.Exchange
 import io.monsoonpath.app.request.Next
+import io.monsoonpath.app.request.RequestMetrics
+import io.monsoonpath.app.request.noteRefusal
 import io.monsoonpath.app.request.refused
 import io.monsoonpath.model.ClockMs
-import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.EventSink
 import io.monsoonpath.model.Outcome
-import io.monsoonpath.model.Refusal
 import io.monsoonpath.model.RefusalReason
 import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.Step
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
-import java.util.UUID
+import java.util.concurrent.CompletionException
 
-/** Serves callers: reads a request, runs it through the filters, and writes its answer or refusal. */
+/**
+ * Serves callers: reads a request, runs it through the filters, and writes its answer or refusal.
+ *
+ * @param views returns the configuration in force, or null before the first one
+ * @param isClosed tells whether the instance takes no more requests because it stops
+ */
 internal class CallerService(
     private val clock: ClockMs,
     private val scope: CoroutineScope,
-    private val view: () -> ConfigurationView?,
+    private val views: () -> ConfigurationView?,
+    private val isClosed: () -> Boolean,
+    private val events: EventSink,
+    private val metrics: RequestMetrics,
     private val filters: Next,
 ) : HttpService {
     override fun serve(
@@ -39,48 +47,96 @@
         req: HttpRequest,
     ): HttpResponse {
         val receivedAtMs = clock.nowMs()
-        return HttpResponse.of(scope.future { answer(req.aggregate().await(), receivedAtMs) })
+        val response = scope.future(EventLoopDispatcher(ctx.eventLoop().withoutContext())) { answer(ctx, req, receivedAtMs) }
+        return HttpResponse.of(response)
     }
 
     private suspend fun answer(
-        request: AggregatedHttpRequest,
+        ctx: ServiceRequestContext,
+        request: HttpRequest,
         receivedAtMs: Long,
     ): HttpResponse {
-        val id = RequestId(request.headers().get(REQUEST_ID_HEADER) ?: UUID.randomUUID().toString())
-        val current = view() ?: return NO_CONFIGURATION.toResponse(id)
-        val exchange =
-            Exchange(
-                id = id,
-                path = request.path(),
-                body = request.content().array(),
-                key = request.headers().get(HttpHeaderNames.AUTHORIZATION)?.removePrefix(BEARER),
-                receivedAtMs = receivedAtMs,
-                requestedDeadlineMs = request.headers().getLong(DEADLINE_HEADER),
-                view = current,
-            )
-        return filters.proceed(exchange).toResponse(id)
+        val head =
+            when (val reading = readHead(request.headers())) {
+                is Outcome.Refused -> return refuse(request, drawRequestId(), reading)
+                is Outcome.Ok -> reading.value
+            }
+        closedOrNull()?.let { return refuse(request, head.id, it) }
+        val body =
+            when (val reading = readBody(request, head.key)) {
+                is Outcome.Refused -> return refuse(request, head.id, reading)
+                is Outcome.Ok -> reading.value
+            }
+        val exchange = { sink: TokenChannel? ->
+            Exchange(head.id, ctx.path(), body, head.key, receivedAtMs, head.deadlineMs, { checkNotNull(views()) }, sink)
+        }
+        ctx.setRequestTimeoutMillis(TimeoutMode.SET_FROM_NOW, (head.deadlineMs ?: MAX_DEADLINE_MS) + SLOW_CALLER_MS)
+        return if (head.wantsTokens) streamedAnswer(scope, filters, exchange) else wholeAnswer(exchange(null))
     }
 
-    private fun Outcome<Answer>.toResponse(id: RequestId): HttpResponse =
-        when (this) {
-            is Outcome.Ok -> HttpResponse.of(headers(HttpStatus.OK, id), HttpData.wrap(value.body))
-            is Outcome.Refused -> HttpResponse.of(headers(HttpStatus.valueOf(refusal.reason.status), id), refusal.toData())
+    private fun closedOrNull(): Outcome.Refused? =
+        when {
+            isClosed() -> shuttingDown()
+            views() == null -> NO_CONFIGURATION
+            else -> null
         }
 
-    private fun headers(
-        status: HttpStatus,
+    private suspend fun readBody(
+        request: HttpRequest,
+        key: String?,
+    ): Outcome<ByteArray> {
+        val body =
+            try {
+                request
+                    .aggregate()
+                    .await()
+                    .content()
+                    .array()
+            } catch (e: CompletionException) {
+                return e.cause?.toRefusal() ?: throw e
+            } catch (e: Exception) {
+                return e.toRefusal() ?: throw e
+            }
+        return bodyProblemOrNull(body, key) ?: Outcome.Ok(body)
+    }
+
+    private fun refuse(
+        request: HttpRequest,
         id: RequestId,
-    ): ResponseHeaders =
-        ResponseHeaders
-            .builder(status)
-            .contentType(MediaType.JSON)
-            .add(REQUEST_ID_HEADER, id.value)
-            .build()
+        refused: Outcome.Refused,
+    ): HttpResponse {
+        noteRefusal(id, refused, events, metrics)
+        request.abort()
+        return refused.refusal.toResponse(id)
+    }
 
-    private fun Refusal.toData() = HttpData.ofUtf8(DocumentJson.encodeToString(Refusal.serializer(), this))
+    private suspend fun wholeAnswer(exchange: Exchange): HttpResponse = filters.proceed(exchange).toResponse(exchange.id)
 
     private companion object {
-        const val BEARER = "Bearer "
+        const val MAX_DEADLINE_MS = 600_000L
+        const val SLOW_CALLER_MS = 5_000L
         val NO_CONFIGURATION = refused(RefusalReason.NOT_IN_SERVICE, Step.RECEIVE, "no configuration has been read yet")
     }
 }
+
+/** Returns the response that carries this outcome of the request [id] as one body. */
+internal fun Outcome<Answer>.toResponse(id: RequestId): HttpResponse =
+    when (this) {
+        is Outcome.Refused -> refusal.toResponse(id)
+        is Outcome.Ok ->
+            when (val answer = value) {
+                is Answer.Whole -> HttpResponse.of(answerHead(MediaType.JSON, id), HttpData.wrap(answer.body))
+                is Answer.Streamed -> error("a streamed answer has no body")
+            }
+    }
+
+/** Returns the headers of an answer to the request [id]. */
+internal fun answerHead(
+    type: MediaType,
+    id: RequestId,
+): ResponseHeaders =
+    ResponseHeaders
+        .builder(HttpStatus.OK)
+        .contentType(type)
+        .add(REQUEST_ID_HEADER, id.value)
+        .build()
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -1,25 +1,18 @@
 package io.monsoonpath.app.http
 
-import com.linecorp.armeria.common.HttpResponse
-import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.server.Server
-import io.monsoonpath.app.config.ConfigurationView
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.monsoonpath.app.config.ConfigurationStore
 import io.monsoonpath.app.event.EventLog
 import io.monsoonpath.app.platform.PlatformReader
-import io.monsoonpath.app.request.LeastInFlightChooser
-import io.monsoonpath.app.request.LocalFairQueue
-import io.monsoonpath.app.request.LocalPermitSource
-import io.monsoonpath.app.request.LocalRateLimiter
 import io.monsoonpath.app.request.Next
-import io.monsoonpath.app.request.PipelineRunner
-import io.monsoonpath.app.request.authenticateFilter
-import io.monsoonpath.app.request.chainOf
-import io.monsoonpath.app.request.queueFilter
-import io.monsoonpath.app.request.rateFilter
-import io.monsoonpath.app.request.routeFilter
-import io.monsoonpath.app.request.traceFilter
+import io.monsoonpath.app.request.RequestMetrics
+import io.monsoonpath.app.request.RequestPorts
+import io.monsoonpath.app.request.localPorts
+import io.monsoonpath.app.request.requestPath
 import io.monsoonpath.model.Endpoint
-import io.monsoonpath.model.Event
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.Settings
 import io.monsoonpath.model.systemClockMs
@@ -29,8 +22,8 @@
 import kotlinx.coroutines.cancel
 import java.net.InetSocketAddress
 import java.security.SecureRandom
+import java.time.Duration
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.atomic.AtomicReference
 
 /** One running entry instance: its servers, its controllers and the state they publish. */
 internal class EntryInstance(
@@ -39,7 +32,10 @@
     private val clock = systemClockMs()
     private val incarnation = Incarnation(SecureRandom().nextLong())
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val view = AtomicReference<ConfigurationView?>()
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val metrics = RequestMetrics(registry)
+    private val state = ServiceState(settings, clock)
+    private val running = RunningRequests()
 
     /** Completes when the instance can serve callers. */
     val ready = CompletableFuture<Unit>()
@@ -47,49 +43,81 @@
     /** The events of this process. */
     val events = EventLog(settings.instance, incarnation, clock)
 
-    private val platform =
-        PlatformReader(settings.platformUrl) { configuration ->
-            view.set(ConfigurationView(configuration))
+    private val configurations =
+        ConfigurationStore(events) { view ->
+            state.adopted(view)
             ready.complete(Unit)
-            events.emit(Event.ConfigurationAdopted(configuration.revision, "platform"))
         }
 
-    private val callerServer = serverAt(settings.caller).service("prefix:/", CallerService(clock, scope, view::get, filters())).build()
-    private val operatorServer =
-        serverAt(settings.operator)
-            .service("/healthz") { _, _ -> HttpResponse.of(HttpStatus.OK) }
-            .service("/readyz") { _, _ -> HttpResponse.of(if (view.get() == null) HttpStatus.SERVICE_UNAVAILABLE else HttpStatus.OK) }
-            .build()
+    private val platform = PlatformReader(settings.platformUrl) { configurations.adopt(it, "platform") }
+    private val ports: RequestPorts = localPorts(clock, settings.limits, state)
+    private val callerServer = callerServer(requestPath(clock, events, metrics, ports, BackendSender(metrics)))
+    private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
+
+    init {
+        Gauge.builder("monsoonpath.requests.running", running) { it.count.toDouble() }.register(registry)
+        Gauge.builder("monsoonpath.events.dropped", events) { it.dropped.toDouble() }.register(registry)
+        Gauge.builder("monsoonpath.configuration.revision", configurations) { it.revision.value.toDouble() }.register(registry)
+        Gauge.builder("monsoonpath.documents.rejected", configurations) { it.rejections.count.toDouble() }.register(registry)
+    }
 
     /** The port on which callers are served. */
     val callerPort: Int get() = callerServer.activeLocalPort()
 
+    /** The port on which operators are served. */
+    val operatorPort: Int get() = operatorServer.activeLocalPort()
+
     /** Starts the servers and follows the platform's configuration. */
     fun start() {
         platform.start()
-        operatorServer.start().join()
-        callerServer.start().join()
+        CompletableFuture.allOf(operatorServer.start(), callerServer.start()).join()
     }
 
+    /**
+     * Stops without cutting a request: readiness turns false, requests are taken for the balancer's grace, and then the
+     * running ones complete within their time.
+     */
     override fun close() {
+        state.stop()
+        Thread.sleep(settings.timing.shutdownGraceMs)
+        state.close()
+        running.awaitNone(settings.timing.shutdownDrainMs)
         platform.close()
-        callerServer.stop().join()
-        operatorServer.stop().join()
+        CompletableFuture.allOf(callerServer.stop(), operatorServer.stop()).join()
         scope.cancel()
     }
 
-    private fun filters(): Next {
-        val runner = PipelineRunner(clock, events, LeastInFlightChooser(), LocalPermitSource(), BackendSender())
-        val filters =
-            listOf(
-                traceFilter(clock, events),
-                routeFilter(),
-                authenticateFilter(),
-                rateFilter(LocalRateLimiter(clock)),
-                queueFilter(LocalFairQueue(settings.limits.maxRunning), clock),
-            )
-        return chainOf(filters, runner)
+    private fun callerServer(filters: Next): Server {
+        val service =
+            CallerService(clock, scope, configurations::currentOrNull, { state.isClosed }, events, metrics, filters)
+        val limits = settings.limits
+        return serverAt(settings.caller)
+            .service("prefix:/", service.decorate { running.counting(it) })
+            .maxRequestLength(limits.maxBodyBytes)
+            .http1MaxHeaderSize(limits.maxHeaderBytes)
+            .http2MaxHeaderListSize(limits.maxHeaderBytes.toLong())
+            .maxNumConnections(limits.maxConnections)
+            .idleTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
+            .requestTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
+            .errorHandler(RefusalErrorHandler)
+            .build()
     }
 
     private fun serverAt(endpoint: Endpoint) = Server.builder().http(InetSocketAddress(endpoint.host, endpoint.port))
+
+    private fun status() =
+        InstanceStatus(
+            instance = settings.instance,
+            incarnation = incarnation.toString(),
+            region = settings.region,
+            failureDomain = settings.failureDomain,
+            ready = state.isReady,
+            stopping = state.isStopping,
+            configuration = configurations.revision,
+            rejectedDocuments = configurations.rejections.count,
+            lastProblems = configurations.rejections.lastProblems,
+            runningRequests = running.count,
+            lastEvent = events.lastSeq,
+            eventsDropped = events.dropped,
+        )
 }
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/RefusalResponses.kt
@@ -0,0 +1,95 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.ShuttingDownException
+import com.linecorp.armeria.server.RequestTimeoutException
+import com.linecorp.armeria.server.ServerErrorHandler
+import com.linecorp.armeria.server.ServiceConfig
+import com.linecorp.armeria.server.ServiceRequestContext
+import io.monsoonpath.app.request.refused
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Refusal
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.Step
+import kotlinx.serialization.json.Json
+
+/** Returns the response that carries this refusal of the request [id]. */
+internal fun Refusal.toResponse(id: RequestId?): HttpResponse = toAggregated(id).toHttpResponse()
+
+/** Returns this refusal as one line of JSON. */
+internal fun Refusal.toJson(): String = LINE_JSON.encodeToString(Refusal.serializer(), this)
+
+private fun Refusal.toAggregated(id: RequestId?): AggregatedHttpResponse = AggregatedHttpResponse.of(head(id), HttpData.ofUtf8(toJson()))
+
+/**
+ * The two refusals that share the status 429 differ in their reason, which a header repeats; only where the rate is the
+ * cause does the header for the rest of the rate say 0.
+ */
+private fun Refusal.head(id: RequestId?): ResponseHeaders {
+    val headers =
+        ResponseHeaders
+            .builder(HttpStatus.valueOf(reason.status))
+            .contentType(MediaType.JSON)
+            .add(REFUSAL_HEADER, REASON_NAMES.getValue(reason))
+    id?.let { headers.add(REQUEST_ID_HEADER, it.value) }
+    retryAfterMs?.let { headers.addLong(HttpHeaderNames.RETRY_AFTER, (it + MS_PER_S - 1) / MS_PER_S) }
+    if (reason == RefusalReason.RATE_LIMITED) headers.add(RATE_REMAINING_HEADER, "0")
+    return headers.build()
+}
+
+/** Turns the server's own errors, which arise before or beside the filters, into typed refusals. */
+internal object RefusalErrorHandler : ServerErrorHandler {
+    override fun onServiceException(
+        ctx: ServiceRequestContext,
+        cause: Throwable,
+    ): HttpResponse? = cause.toRefusal()?.refusal?.toResponse(null)
+
+    override fun renderStatus(
+        ctx: ServiceRequestContext?,
+        config: ServiceConfig,
+        headers: RequestHeaders?,
+        status: HttpStatus,
+        description: String?,
+        cause: Throwable?,
+    ): AggregatedHttpResponse {
+        val refusal = cause?.toRefusal() ?: refused(reasonFor(status), Step.RECEIVE, description ?: status.reasonPhrase())
+        return refusal.refusal.toAggregated(null)
+    }
+
+    private fun reasonFor(status: HttpStatus) =
+        when {
+            status == HttpStatus.REQUEST_ENTITY_TOO_LARGE -> RefusalReason.BODY_TOO_LARGE
+            status == HttpStatus.NOT_FOUND -> RefusalReason.NO_ROUTE
+            status.isClientError -> RefusalReason.BAD_REQUEST
+            status == HttpStatus.SERVICE_UNAVAILABLE -> RefusalReason.OVERLOADED
+            else -> RefusalReason.INTERNAL
+        }
+}
+
+/** Returns the refusal for an error that arose while a request was being received, or null for any other. */
+internal fun Throwable.toRefusal(): Outcome.Refused? =
+    when (this) {
+        is ContentTooLargeException -> refused(RefusalReason.BODY_TOO_LARGE, Step.RECEIVE, "the body is too large")
+        is RequestTimeoutException -> refused(RefusalReason.BAD_REQUEST, Step.RECEIVE, "the request did not arrive in time")
+        is ShuttingDownException -> shuttingDown()
+        else -> null
+    }
+
+/** Returns the refusal of an instance that takes no new requests because it stops. */
+internal fun shuttingDown() =
+    refused(RefusalReason.SHUTTING_DOWN, Step.RECEIVE, "this instance is shutting down", retryAfterMs = SHUTDOWN_RETRY_AFTER_MS)
+
+private val LINE_JSON = Json { explicitNulls = false }
+private val REASON_NAMES: Map<RefusalReason, String> =
+    RefusalReason.entries.associateWith { LINE_JSON.encodeToString(RefusalReason.serializer(), it).trim('"') }
+private const val MS_PER_S = 1_000L
+private const val SHUTDOWN_RETRY_AFTER_MS = 1_000L
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/RunningRequests.kt
@@ -0,0 +1,32 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.server.HttpService
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Counts the requests whose responses are not complete yet, streams included. */
+internal class RunningRequests {
+    private val running = AtomicInteger()
+
+    /** How many there are. */
+    val count: Int get() = running.get()
+
+    /** Returns [service] with its requests counted. */
+    fun counting(service: HttpService) =
+        HttpService { ctx, request ->
+            running.incrementAndGet()
+            ctx.log().whenComplete().thenRun { running.decrementAndGet() }
+            service.serve(ctx, request)
+        }
+
+    /** Waits until there are none, for at most [timeoutMs]; returns whether there are none. */
+    fun awaitNone(timeoutMs: Long): Boolean {
+        val endNs = System.nanoTime() + timeoutMs * NS_PER_MS
+        while (running.get() > 0 && System.nanoTime() < endNs) Thread.sleep(CHECK_INTERVAL_MS)
+        return running.get() == 0
+    }
+
+    private companion object {
+        const val NS_PER_MS = 1_000_000L
+        const val CHECK_INTERVAL_MS = 10L
+    }
+}
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/StreamedAnswer.kt
@@ -0,0 +1,125 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.sse.ServerSentEvent
+import com.linecorp.armeria.server.streaming.ServerSentEvents
+import io.monsoonpath.app.request.Answer
+import io.monsoonpath.app.request.Exchange
+import io.monsoonpath.app.request.Next
+import io.monsoonpath.app.request.Token
+import io.monsoonpath.app.request.refused
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Ran
+import io.monsoonpath.model.Refusal
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.Step
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.reactive.asPublisher
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlin.coroutines.ContinuationInterceptor
+
+/**
+ * Runs a request whose tokens the caller wants one by one.
+ *
+ * Until the first token, a refusal is an ordinary response. After it, the response is a stream of events that ends in an
+ * `end` event with the count of tokens, or in an `error` event with the refusal; one without either was cut off.
+ */
+internal suspend fun streamedAnswer(
+    scope: CoroutineScope,
+    filters: Next,
+    exchangeOf: (TokenChannel) -> Exchange,
+): HttpResponse {
+    val tokens = TokenChannel()
+    val exchange = exchangeOf(tokens)
+    val dispatcher = checkNotNull(currentCoroutineContext()[ContinuationInterceptor])
+    val running = scope.async(dispatcher) { filters.proceed(exchange) }
+    running.invokeOnCompletion { tokens.close() }
+    val first = cancelling(running) { tokens.nextOrNull() }
+    val outcome = if (first == null) cancelling(running) { running.await() } else null
+    if (outcome is Outcome.Refused || (outcome is Outcome.Ok && outcome.value is Answer.Whole)) return outcome.toResponse(exchange.id)
+    val events = eventsOf(first, tokens, running)
+    return ServerSentEvents.fromPublisher(answerHead(MediaType.EVENT_STREAM, exchange.id), events.asPublisher(dispatcher))
+}
+
+/** Runs [wait]; when the caller leaves meanwhile, the request is cancelled. */
+private suspend fun <T> cancelling(
+    running: Deferred<*>,
+    wait: suspend () -> T,
+): T {
+    var isDone = false
+    try {
+        return wait().also { isDone = true }
+    } finally {
+        if (!isDone) running.cancel()
+    }
+}
+
+private fun eventsOf(
+    first: Token?,
+    tokens: TokenChannel,
+    running: Deferred<Outcome<Answer>>,
+): Flow<ServerSentEvent> =
+    flow {
+        try {
+            var token = first
+            while (token != null) {
+                emit(tokenEvent(token))
+                token = tokens.nextOrNull()
+            }
+            emit(lastEvent(running))
+        } finally {
+            running.cancel()
+        }
+    }
+
+private suspend fun lastEvent(running: Deferred<Outcome<Answer>>): ServerSentEvent =
+    when (val outcome = running.await()) {
+        is Outcome.Refused -> errorEvent(outcome.refusal)
+        is Outcome.Ok ->
+            when (val answer = outcome.value) {
+                is Answer.Streamed -> event("end", Json.encodeToString(EndData.serializer(), EndData(answer.tokenCount)))
+                is Answer.Whole -> errorEvent(MIXED_ANSWER.refusal)
+            }
+    }
+
+private fun tokenEvent(token: Token): ServerSentEvent =
+    ServerSentEvent
+        .builder()
+        .id(token.index.toString())
+        .event("token")
+        .data(Json.encodeToString(TokenData.serializer(), TokenData(token.index, token.text)))
+        .build()
+
+private fun errorEvent(refusal: Refusal) = event("error", refusal.toJson())
+
+private fun event(
+    name: String,
+    data: String,
+): ServerSentEvent =
+    ServerSentEvent
+        .builder()
+        .event(name)
+        .data(data)
+        .build()
+
+/** The data of a `token` event. */
+@Serializable
+private class TokenData(
+    val index: Long,
+    val text: String,
+)
+
+/** The data of an `end` event: [count] tokens make the whole answer. */
+@Serializable
+private class EndData(
+    val count: Long,
+)
+
+private val MIXED_ANSWER = refused(RefusalReason.INTERNAL, Step.STREAM, "an unexpected error", ran = Ran.UNKNOWN)
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/TokenReader.kt
@@ -0,0 +1,84 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.stream.StreamMessage
+import io.monsoonpath.app.request.SendResult
+import io.monsoonpath.app.request.Token
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.transform
+import kotlinx.coroutines.reactive.asFlow
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.ByteArrayOutputStream
+
+/**
+ * Reads the server-sent events of an engine from [body] as fast as [deliver] takes their tokens.
+ *
+ * A stream without its explicit end is a failure, however many tokens came.
+ */
+internal suspend fun readTokens(
+    body: StreamMessage<HttpData>,
+    incarnation: String?,
+    deliver: suspend (Token) -> Boolean,
+): SendResult {
+    val lines = LineBuffer()
+    return body
+        .asFlow()
+        .buffer(Channel.RENDEZVOUS)
+        .transform { chunk ->
+            for (line in lines.append(chunk.array())) readLine(line, incarnation, deliver)?.let { emit(it) }
+        }.firstOrNull() ?: SendResult.Failed("ended its stream without an end")
+}
+
+/** Returns the result if [line] ends the stream, or null if it goes on. */
+private suspend fun readLine(
+    line: String,
+    incarnation: String?,
+    deliver: suspend (Token) -> Boolean,
+): SendResult? {
+    if (!line.startsWith(DATA_FIELD)) return null
+    val event = eventOrNull(line.removePrefix(DATA_FIELD)) ?: return SendResult.Failed("sent an event that cannot be read")
+    if (event.count != null) return SendResult.StreamEnded(event.count, incarnation)
+    if (event.index == null || event.text == null) return SendResult.Failed("sent an event that cannot be read")
+    return if (deliver(Token(event.index, event.text))) null else SendResult.Failed("left out a token before ${event.index}")
+}
+
+private fun eventOrNull(json: String): EngineEvent? =
+    try {
+        EVENT_JSON.decodeFromString(EngineEvent.serializer(), json)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+/** Joins chunks of bytes and cuts them into lines. */
+private class LineBuffer {
+    private val rest = ByteArrayOutputStream()
+
+    /** Returns the lines that [chunk] completes. */
+    fun append(chunk: ByteArray): List<String> {
+        val lines = ArrayList<String>()
+        var start = 0
+        for (i in chunk.indices) {
+            if (chunk[i] != NEWLINE) continue
+            rest.write(chunk, start, i - start)
+            lines += rest.toString(Charsets.UTF_8).trimEnd('\r')
+            rest.reset()
+            start = i + 1
+        }
+        rest.write(chunk, start, chunk.size - start)
+        require(rest.size() <= MAX_LINE_BYTES) { "a line is longer than $MAX_LINE_BYTES bytes" }
+        return lines
+    }
+
+    private companion object {
+        const val NEWLINE = '\n'.code.toByte()
+        const val MAX_LINE_BYTES = 65_536
+    }
+}
+
+private const val DATA_FIELD = "data:"
+private val EVENT_JSON = Json { ignoreUnknownKeys = true }
--- a/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
@@ -1,68 +1,139 @@
 package io.monsoonpath.app.request
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.monsoonpath.model.Access
 import io.monsoonpath.model.ClockMs
 import io.monsoonpath.model.Event
 import io.monsoonpath.model.EventSink
 import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Ran
 import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.Step
+import kotlinx.coroutines.CancellationException
 
-/** Notes the arrival and the end of each request. */
+private val log = KotlinLogging.logger {}
+
+/** Notes the arrival and the end of each request, and turns an unexpected error into a refusal. */
 internal fun traceFilter(
     clock: ClockMs,
     events: EventSink,
+    metrics: RequestMetrics,
 ) = Filter { exchange, next ->
     events.emit(Event.RequestReceived(exchange.id, exchange.path))
-    val outcome = next.proceed(exchange)
+    val outcome =
+        try {
+            next.proceed(exchange)
+        } catch (e: CancellationException) {
+            val refusal = refused(RefusalReason.CANCELLED, Step.RECEIVE, "the caller left", ran = exchange.ran)
+            noteEnd(exchange, refusal, clock, events, metrics)
+            throw e
+        } catch (e: Exception) {
+            log.error(e) { "request ${exchange.id} failed unexpectedly" }
+            refused(RefusalReason.INTERNAL, Step.RECEIVE, "an unexpected error", ran = exchange.ran)
+        }
+    noteEnd(exchange, outcome, clock, events, metrics)
+    outcome
+}
+
+private fun noteEnd(
+    exchange: Exchange,
+    outcome: Outcome<Answer>,
+    clock: ClockMs,
+    events: EventSink,
+    metrics: RequestMetrics,
+) {
+    val tookMs = clock.nowMs() - exchange.receivedAtMs
     when (outcome) {
-        is Outcome.Ok -> events.emit(Event.RequestAnswered(exchange.id, clock.nowMs() - exchange.receivedAtMs))
-        is Outcome.Refused -> events.emit(Event.Refused(exchange.id, outcome.refusal))
+        is Outcome.Ok -> {
+            events.emit(Event.RequestAnswered(exchange.id, tookMs))
+            metrics.answered(exchange.path, tookMs)
+        }
+        is Outcome.Refused -> noteRefusal(exchange.id, outcome, events, metrics)
     }
-    outcome
 }
 
-/** Finds the route and its pipeline. */
+/** Notes a refusal as event, metric and log line. */
+internal fun noteRefusal(
+    id: RequestId,
+    refused: Outcome.Refused,
+    events: EventSink,
+    metrics: RequestMetrics,
+) {
+    val refusal = refused.refusal
+    events.emit(Event.Refused(id, refusal))
+    metrics.refused(refusal.reason)
+    log.atInfo {
+        message = "refused: ${refusal.detail}"
+        payload =
+            mapOf("requestId" to id.value, "step" to refusal.step.name, "reason" to refusal.reason.name, "ran" to refusal.ran.name) +
+            listOfNotNull(refusal.peer?.let { "peer" to it }, refusal.stage?.let { "stage" to it.value })
+    }
+}
+
+/** Finds out whose key came with the request, if any, and forgets the key itself. */
+internal fun authenticateFilter() =
+    Filter { exchange, next ->
+        val key = exchange.takeKey()
+        exchange.identity =
+            when (val spec = key?.let { exchange.view.matchOrNull(it) }) {
+                null -> if (key == null) Identity.Missing else Identity.Unknown
+                else -> if (spec.withdrawn) Identity.Withdrawn(spec.id) else Identity.Known(spec)
+            }
+        next.proceed(exchange)
+    }
+
+/** Finds the route and its pipeline, and lets the request run only for the workspace that its key belongs to. */
 internal fun routeFilter() =
     Filter { exchange, next ->
-        val route = exchange.view.routeOrNull(exchange.path)
+        val view = exchange.view
+        val route = view.routeOrNull(exchange.path)
         if (route == null) {
-            refused(RefusalReason.NO_ROUTE, Step.ROUTE, "no route at ${exchange.path}")
+            refused(RefusalReason.NO_ROUTE, Step.ROUTE, "there is no route at this path")
         } else {
             exchange.route = route
-            exchange.pipeline = exchange.view.pipeline(route.pipeline)
-            next.proceed(exchange)
+            exchange.pipeline = view.pipeline(route.pipeline)
+            val identity = exchange.identity
+            if (route.access == Access.KEYED && identity is Identity.Known) exchange.workspace = view.workspace(identity.key.workspace)
+            refusalOf(route.access, identity) ?: next.proceed(exchange)
         }
     }
 
-/** Checks the key and lets the request run only for the workspace that the key belongs to. */
-internal fun authenticateFilter() =
+private fun refusalOf(
+    access: Access,
+    identity: Identity,
+): Outcome.Refused? {
+    if (access == Access.OPEN) return null
+    return when (identity) {
+        Identity.Missing -> refused(RefusalReason.KEY_MISSING, Step.AUTHENTICATE, "this route needs a key")
+        Identity.Unknown -> refused(RefusalReason.KEY_INVALID, Step.AUTHENTICATE, "the key is not known")
+        is Identity.Withdrawn -> refused(RefusalReason.KEY_WITHDRAWN, Step.AUTHENTICATE, "the key ${identity.id} is withdrawn")
+        is Identity.Known -> null
+    }
+}
+
+/** Refuses requests while this instance may not take them. */
+internal fun gateFilter(gate: ServiceGate) =
     Filter { exchange, next ->
-        val key = exchange.key
-        exchange.dropKey()
-        val spec = key?.let { exchange.view.keys.matchOrNull(it) }
-        when {
-            exchange.route.access == Access.OPEN -> next.proceed(exchange)
-            key == null -> refused(RefusalReason.KEY_MISSING, Step.AUTHENTICATE, "this route needs a key")
-            spec == null -> refused(RefusalReason.KEY_INVALID, Step.AUTHENTICATE, "the key is not known")
-            spec.withdrawn -> refused(RefusalReason.KEY_WITHDRAWN, Step.AUTHENTICATE, "the key ${spec.id} is withdrawn")
-            else -> {
-                exchange.workspace = exchange.view.workspace(spec.workspace)
-                next.proceed(exchange)
-            }
-        }
+        gate.refusalOrNull(exchange)?.let { Outcome.Refused(it) } ?: next.proceed(exchange)
     }
 
-/** Takes the request off its workspace's limit; open routes have none. */
+/** Takes the request off its workspace's limit, and gives it back if it is refused without having run; open routes have none. */
 internal fun rateFilter(limiter: RateLimiter) =
     Filter { exchange, next ->
         val workspace = exchange.workspace
-        when (val taken = workspace?.let { limiter.acquire(it) }) {
+        when (val taken = workspace?.let { limiter.acquire(it, exchange.deadlineAtMs) }) {
             is Outcome.Refused -> taken
-            else -> next.proceed(exchange)
+            else -> {
+                val outcome = next.proceed(exchange)
+                if (workspace != null && outcome.isNotRun()) limiter.refund(workspace)
+                outcome
+            }
         }
     }
 
+private fun Outcome<Answer>.isNotRun() = this is Outcome.Refused && refusal.ran == Ran.NOT_RUN
+
 /** Waits for the request's fair turn and gives it back at the end. */
 internal fun queueFilter(
     queue: FairQueue,
@@ -80,3 +151,32 @@
         }
     }
 }
+
+/** Claims the request id on routes that are not idempotent, so that a resend does not run twice. */
+internal fun claimFilter(claims: ClaimSource) =
+    Filter { exchange, next ->
+        if (exchange.route.idempotent) {
+            next.proceed(exchange)
+        } else {
+            when (val claimed = claims.claim(exchange.workspace?.id, exchange.id, CLAIM_TTL_MS)) {
+                is Outcome.Refused -> claimed
+                is Outcome.Ok -> proceedClaimed(exchange, next, claimed.value)
+            }
+        }
+    }
+
+private suspend fun proceedClaimed(
+    exchange: Exchange,
+    next: Next,
+    claim: Claim,
+): Outcome<Answer> {
+    var outcome: Outcome<Answer>? = null
+    try {
+        return next.proceed(exchange).also { outcome = it }
+    } finally {
+        claim.finish(exchange.ranOnce, outcome)
+    }
+}
+
+/** How long a claim remembers its request id. */
+internal const val CLAIM_TTL_MS = 600_000L
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Exchange.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Exchange.kt
@@ -2,16 +2,20 @@
 
 import io.monsoonpath.app.config.ConfigurationView
 import io.monsoonpath.model.PipelineSpec
+import io.monsoonpath.model.Ran
 import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.RouteSpec
+import io.monsoonpath.model.StageSpec
 import io.monsoonpath.model.WorkspaceSpec
 
 /**
  * One caller's request on its way through the filters, which fill in what later filters need.
  *
- * @property key the key as the caller sent it; it goes no further than the authenticating filter
+ * One coroutine at a time works on it.
+ *
  * @property receivedAtMs when the request arrived, on this process's clock
  * @property requestedDeadlineMs the caller's own deadline as a duration, or null for the pipeline's
+ * @property tokens takes generated tokens one by one, or null where the caller wants the answer as one body
  */
 internal class Exchange(
     val id: RequestId,
@@ -20,22 +24,62 @@
     key: String?,
     val receivedAtMs: Long,
     val requestedDeadlineMs: Long?,
-    val view: ConfigurationView,
+    private val views: () -> ConfigurationView,
+    val tokens: TokenSink? = null,
 ) {
-    var key: String? = key
-        private set
+    private var presentedKey: String? = key
+    private var reachedAny = false
+    private var reachedNonIdempotent = false
+
     lateinit var route: RouteSpec
     lateinit var pipeline: PipelineSpec
 
+    /** Whose key came with the request. */
+    var identity: Identity = Identity.Missing
+
     /** The workspace whose key came with the request, or null on an open route. */
     var workspace: WorkspaceSpec? = null
 
+    /** The configuration in force now; it may change between two reads. */
+    val view: ConfigurationView get() = views()
+
     /** When the answer must be complete, on this process's clock. */
     val deadlineAtMs: Long
         get() = receivedAtMs + minOf(requestedDeadlineMs ?: Long.MAX_VALUE / 2, pipeline.deadlineMs)
 
-    /** Forgets the key once it has been checked. */
-    fun dropKey() {
-        key = null
+    /** Whether any byte of the request can have reached a backend server. */
+    val ran: Ran get() = if (reachedAny) Ran.UNKNOWN else Ran.NOT_RUN
+
+    /**
+     * Whether a resend would run something twice that may run only once.
+     *
+     * A pipeline that repeats nothing non-idempotent may run again; where all stages are idempotent and the route is not,
+     * every stage counts.
+     */
+    val ranOnce: Boolean
+        get() = if (pipeline.stages.all { it.idempotent }) reachedAny else reachedNonIdempotent
+
+    /** Whether the key that the request runs for is still in force; true on an open route. */
+    val keyIsInForce: Boolean
+        get() = workspace == null || (identity as? Identity.Known)?.let { view.isInForce(it.key) } == true
+
+    /** Notes that bytes of a call of [stage] may have reached a backend server. */
+    fun noteReached(stage: StageSpec) {
+        reachedAny = true
+        if (!stage.idempotent) reachedNonIdempotent = true
     }
+
+    /** Returns the key as the caller sent it and forgets it, so that it goes no further than the authenticating filter. */
+    fun takeKey(): String? = presentedKey.also { presentedKey = null }
 }
+
+/** Takes the tokens of one answer in order; waits while the caller cannot take more. */
+internal fun interface TokenSink {
+    suspend fun emit(token: Token)
+}
+
+/** The token at [index] of an answer, from 0 without gaps. */
+internal class Token(
+    val index: Long,
+    val text: String,
+)
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Filters.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Filters.kt
@@ -2,10 +2,18 @@
 
 import io.monsoonpath.model.Outcome
 
-/** The whole answer to a request, as bytes of JSON. */
-internal class Answer(
-    val body: ByteArray,
-)
+/** The answer to a request. */
+internal sealed interface Answer {
+    /** The whole answer as bytes of JSON. */
+    class Whole(
+        val body: ByteArray,
+    ) : Answer
+
+    /** All [tokenCount] tokens of the answer have been handed to the request's sink. */
+    class Streamed(
+        val tokenCount: Long,
+    ) : Answer
+}
 
 /** What follows in the chain. */
 internal fun interface Next {
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Keys.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Keys.kt
@@ -1,19 +1,21 @@
 package io.monsoonpath.app.request
 
+import io.monsoonpath.app.config.ConfigurationView
 import io.monsoonpath.model.KeySpec
 import java.security.MessageDigest
 import java.util.HexFormat
 
 /**
- * Returns the specification that [key] matches, or null.
+ * Returns the published form of [key], be it in force or withdrawn, or null.
  *
- * The key starts with its public id and a dot; the comparison of hashes takes the same time wherever they differ.
+ * The key starts with its public id and a dot. The comparison of hashes takes the same time wherever they differ, and an
+ * unknown id costs a comparison too, so that the time tells nothing about which ids exist.
  */
-internal fun List<KeySpec>.matchOrNull(key: String): KeySpec? {
-    val id = key.substringBefore('.')
-    val spec = firstOrNull { it.id.value == id } ?: return null
-    val expected = HexFormat.of().parseHex(spec.hashHex)
-    return spec.takeIf { MessageDigest.isEqual(expected, hashKey(key, HexFormat.of().parseHex(spec.saltHex))) }
+internal fun ConfigurationView.matchOrNull(key: String): KeySpec? {
+    val spec = keyOrNull(key.substringBefore('.'))
+    val hash = hashKey(key, HEX.parseHex(spec?.saltHex ?: NO_SALT_HEX))
+    val isMatch = MessageDigest.isEqual(HEX.parseHex(spec?.hashHex ?: NO_HASH_HEX), hash)
+    return spec?.takeIf { isMatch }
 }
 
 /** Returns SHA-256 of [salt] followed by [key]. */
@@ -25,3 +27,7 @@
     digest.update(salt)
     return digest.digest(key.toByteArray())
 }
+
+private val HEX = HexFormat.of()
+private const val NO_SALT_HEX = "00000000000000000000000000000000"
+private const val NO_HASH_HEX = "0000000000000000000000000000000000000000000000000000000000000000"
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/LocalBackends.kt
@@ -0,0 +1,81 @@
+package io.monsoonpath.app.request
+
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.BackendSpec
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.StageSpec
+import io.monsoonpath.model.Step
+import io.monsoonpath.model.map
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Chooses the backend server with the fewest attempts in flight. */
+internal class LeastInFlightChooser : BackendChooser {
+    private val inFlight = ConcurrentHashMap<BackendId, AtomicInteger>()
+
+    override fun choose(
+        exchange: Exchange,
+        stage: StageSpec,
+        excluded: Set<BackendId>,
+    ): Outcome<BackendSpec> {
+        val best =
+            exchange.view
+                .serving(stage.pool)
+                .filter { it.id !in excluded }
+                .minByOrNull { countOf(it.id).get() }
+        return best?.let { Outcome.Ok(it) } ?: refused(RefusalReason.NO_BACKEND, Step.CHOOSE, "no backend server is left in ${stage.pool}")
+    }
+
+    override fun sent(backend: BackendId) {
+        countOf(backend).incrementAndGet()
+    }
+
+    override fun ended(report: AttemptReport) {
+        countOf(report.backend.id).decrementAndGet()
+    }
+
+    private fun countOf(backend: BackendId) = inFlight[backend] ?: inFlight.computeIfAbsent(backend) { AtomicInteger() }
+}
+
+/** Permits for a single instance: as many at once as the backend server bears when warm. */
+internal class LocalPermitSource : PermitSource {
+    private val held = ConcurrentHashMap<BackendId, AtomicInteger>()
+
+    override suspend fun acquire(
+        backend: BackendSpec,
+        deadlineAtMs: Long,
+    ): Outcome<Permit> {
+        val count = held.computeIfAbsent(backend.id) { AtomicInteger() }
+        if (count.tryIncrement(backend.fullLoad)) return Outcome.Ok(Permit { count.decrementAndGet() })
+        return refused(RefusalReason.OVERLOADED, Step.PERMIT, "${backend.id} has its full load", RETRY_AFTER_MS, backend.id.value)
+    }
+
+    private companion object {
+        const val RETRY_AFTER_MS = 100L
+    }
+}
+
+/** Lets retries add a fixed fraction to the load, with a small reserve, in hundredths of a retry. */
+internal class LocalRetryBudget : RetryBudget {
+    private val hundredths = AtomicInteger(CAPACITY)
+
+    override fun earn(stage: StageSpec) {
+        hundredths.updateAndGet { minOf(CAPACITY, it + EARNED_PER_ATTEMPT) }
+    }
+
+    override fun trySpend(stage: StageSpec): Boolean = hundredths.getAndUpdate { if (it >= ONE_RETRY) it - ONE_RETRY else it } >= ONE_RETRY
+
+    private companion object {
+        const val ONE_RETRY = 100
+        const val EARNED_PER_ATTEMPT = 20
+        const val CAPACITY = 2_000
+    }
+}
+
+/** Gives each stage all the time that is left. */
+internal fun wholeRemainder() = StageDeadlines { _, _, remainingMs -> Outcome.Ok(remainingMs) }
+
+/** Resumes streams on whichever engine [chooser] names. */
+internal fun resumeBy(chooser: BackendChooser) =
+    ResumeSource { exchange, stage, excluded, _ -> chooser.choose(exchange, stage, excluded).map { ResumePoint(it) } }
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/LocalClaimSource.kt
@@ -0,0 +1,65 @@
+package io.monsoonpath.app.request
+
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Ran
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.Step
+import io.monsoonpath.model.WorkspaceId
+import java.util.concurrent.ConcurrentHashMap
+
+/** Claims for a single instance, remembered for their time-to-live. */
+internal class LocalClaimSource(
+    private val clock: ClockMs,
+) : ClaimSource {
+    private class Entry(
+        val untilMs: Long,
+        @Volatile var finished: Boolean = false,
+    )
+
+    private val entries = ConcurrentHashMap<Pair<WorkspaceId?, RequestId>, Entry>()
+
+    @Volatile
+    private var sweepAtMs = Long.MIN_VALUE
+
+    override suspend fun claim(
+        workspace: WorkspaceId?,
+        request: RequestId,
+        ttlMs: Long,
+    ): Outcome<Claim> {
+        val nowMs = clock.nowMs()
+        sweep(nowMs)
+        val entry = Entry(nowMs + ttlMs)
+        val key = workspace to request
+        val former = entries.putIfAbsent(key, entry)
+        return when {
+            former == null -> Outcome.Ok(claimOf(key, entry))
+            former.finished -> duplicate(RefusalReason.DUPLICATE_FINISHED, "this request id has run before")
+            else -> duplicate(RefusalReason.DUPLICATE_RUNNING, "this request id is running")
+        }
+    }
+
+    private fun duplicate(
+        reason: RefusalReason,
+        detail: String,
+    ) = refused(reason, Step.CLAIM, detail, ran = Ran.UNKNOWN)
+
+    private fun claimOf(
+        key: Pair<WorkspaceId?, RequestId>,
+        entry: Entry,
+    ) = Claim { ran, _ ->
+        entry.finished = true
+        if (!ran) entries.remove(key, entry)
+    }
+
+    private fun sweep(nowMs: Long) {
+        if (nowMs < sweepAtMs) return
+        sweepAtMs = nowMs + SWEEP_INTERVAL_MS
+        entries.values.removeIf { it.finished && it.untilMs < nowMs }
+    }
+
+    private companion object {
+        const val SWEEP_INTERVAL_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/LocalFairQueue.kt
@@ -0,0 +1,55 @@
+package io.monsoonpath.app.request
+
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.Step
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** A queue for a single instance that bounds how many requests run at once and lets none wait. */
+internal class LocalFairQueue(
+    private val maxRunning: Int,
+) : FairQueue {
+    private val running = AtomicInteger()
+    private val runningByWorkspace = ConcurrentHashMap<WorkspaceId, AtomicInteger>()
+
+    override suspend fun enter(exchange: Exchange): Outcome<Turn> {
+        if (!running.tryIncrement(maxRunning)) {
+            return refused(RefusalReason.OVERLOADED, Step.QUEUE, "$maxRunning requests are running", RETRY_AFTER_MS)
+        }
+        val workspace = exchange.workspace
+        val limit = workspace?.maxRunning ?: return Outcome.Ok(Turn { running.decrementAndGet() })
+        return enter(workspace, limit)
+    }
+
+    private fun enter(
+        workspace: WorkspaceSpec,
+        limit: Int,
+    ): Outcome<Turn> {
+        val count = runningByWorkspace.computeIfAbsent(workspace.id) { AtomicInteger() }
+        if (!count.tryIncrement(limit)) {
+            running.decrementAndGet()
+            val detail = "$limit requests of the workspace are running"
+            return refused(RefusalReason.CONCURRENCY_LIMITED, Step.QUEUE, detail, RETRY_AFTER_MS)
+        }
+        return Outcome.Ok(
+            Turn {
+                count.decrementAndGet()
+                running.decrementAndGet()
+            },
+        )
+    }
+
+    private companion object {
+        const val RETRY_AFTER_MS = 200L
+    }
+}
+
+/** Adds one unless that would pass [limit]; returns whether it did. */
+internal fun AtomicInteger.tryIncrement(limit: Int): Boolean {
+    if (incrementAndGet() <= limit) return true
+    decrementAndGet()
+    return false
+}
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
@@ -3,23 +3,47 @@
 import io.monsoonpath.model.BackendId
 import io.monsoonpath.model.BackendSpec
 import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.PipelineSpec
+import io.monsoonpath.model.Refusal
 import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.StageSpec
 import io.monsoonpath.model.WorkspaceId
 import io.monsoonpath.model.WorkspaceSpec
 
+/** The decisions that the path of a request asks for; each can be replaced alone. */
+internal class RequestPorts(
+    val gate: ServiceGate,
+    val limiter: RateLimiter,
+    val claims: ClaimSource,
+    val queue: FairQueue,
+    val deadlines: StageDeadlines,
+    val chooser: BackendChooser,
+    val permits: PermitSource,
+    val retries: RetryBudget,
+    val resumes: ResumeSource,
+)
+
+/** Tells whether this instance may take requests at all. */
+internal fun interface ServiceGate {
+    /** Returns why this instance may not take [exchange], or null if it may; called once its route and workspace are known. */
+    fun refusalOrNull(exchange: Exchange): Refusal?
+}
+
 /** Limits workspaces to their rate and burst. */
 internal interface RateLimiter {
-    /** Takes one request off the limit of [workspace], or refuses with a retry time. */
-    suspend fun acquire(workspace: WorkspaceSpec): Outcome<Unit>
+    /** Takes one request off the limit of [workspace] by [deadlineAtMs], or refuses with a retry time. */
+    suspend fun acquire(
+        workspace: WorkspaceSpec,
+        deadlineAtMs: Long,
+    ): Outcome<Unit>
 
-    /** Gives back what [acquire] took for a request that was refused later; best effort. */
+    /** Gives back what [acquire] took for a request that was refused later without having run; best effort. */
     fun refund(workspace: WorkspaceSpec)
 }
 
 /** Makes sure that a non-idempotent request runs at most once, whichever instances it is sent through. */
 internal interface ClaimSource {
-    /** Claims [request] of [workspace], or refuses because it runs, ran, or cannot be claimed. */
+    /** Claims [request] of [workspace] for [ttlMs], or refuses because it runs, ran, or cannot be claimed. */
     suspend fun claim(
         workspace: WorkspaceId?,
         request: RequestId,
@@ -28,17 +52,17 @@
 }
 
 /** A claim on a request id. */
-internal interface Claim {
-    /** Records how the request ended; [sent] is false only if no byte can have reached a backend server. */
+internal fun interface Claim {
+    /** Records how the request ended; a resend may run only if [ran] is false. */
     fun finish(
-        sent: Boolean,
-        outcome: Outcome<Answer>,
+        ran: Boolean,
+        outcome: Outcome<Answer>?,
     )
 }
 
 /** Shares this instance's capacity between workspaces. */
 internal interface FairQueue {
-    /** Waits for the request's turn, or refuses it. */
+    /** Waits for the request's turn, or refuses it; a wait ends with the caller's coroutine. */
     suspend fun enter(exchange: Exchange): Outcome<Turn>
 }
 
@@ -48,6 +72,19 @@
     fun leave(costMs: Long)
 }
 
+/** Divides a request's time over the stages of its pipeline. */
+internal fun interface StageDeadlines {
+    /**
+     * Returns how long the stage at [index] of [pipeline] may take, in milliseconds from 1 to [remainingMs],
+     * or refuses because the stages from [index] on cannot be done in [remainingMs].
+     */
+    fun budgetMs(
+        pipeline: PipelineSpec,
+        index: Int,
+        remainingMs: Long,
+    ): Outcome<Long>
+}
+
 /** Chooses the backend server for each attempt and learns from what happened. */
 internal interface BackendChooser {
     /** Returns a backend server for [stage] that is not in [excluded], or a refusal. */
@@ -60,25 +97,83 @@
     /** Notes that an attempt was sent. */
     fun sent(backend: BackendId)
 
-    /** Notes that an attempt ended after [tookMs]; [succeeded] is false for a failure of the backend server. */
-    fun ended(
-        backend: BackendId,
-        stage: StageSpec,
-        tookMs: Long,
-        succeeded: Boolean,
-    )
+    /** Notes how an attempt ended; called once for each [sent]. */
+    fun ended(report: AttemptReport)
 }
 
+/** How an attempt at a backend server ended. */
+internal enum class AttemptEnd {
+    /** The whole answer came and is the one asked for. */
+    ANSWERED,
+
+    /** The backend server failed, or its answer was not the one asked for. */
+    FAILED,
+
+    /** The answer did not come in time. */
+    TIMED_OUT,
+
+    /** It was cancelled by this instance; the backend server may go on with it for a while. */
+    CANCELLED,
+
+    /** No byte of it can have reached the backend server. */
+    NOT_SENT,
+}
+
+/**
+ * What an attempt showed about a backend server.
+ *
+ * @property tookMs the time from the send to the end
+ * @property incarnation the incarnation that the backend server named in its answer, or null without an answer
+ */
+internal class AttemptReport(
+    val backend: BackendSpec,
+    val stage: StageSpec,
+    val end: AttemptEnd,
+    val tookMs: Long,
+    val incarnation: String?,
+)
+
 /** Keeps each backend server within the load that it bears. */
 internal interface PermitSource {
-    /** Acquires a permit for one attempt at [backend], or refuses. */
+    /** Acquires a permit for one attempt at [backend] that may last until [deadlineAtMs], or refuses. */
     suspend fun acquire(
         backend: BackendSpec,
         deadlineAtMs: Long,
     ): Outcome<Permit>
 }
 
-/** A permit for one attempt, held until the answer is complete or the attempt is known to be cancelled. */
+/** A permit for one attempt, held from before the send until the answer is complete or the attempt has been given up. */
 internal fun interface Permit {
-    fun release()
+    /** Gives the permit back; [end] tells whether the backend server may still be busy with the attempt. */
+    fun release(end: AttemptEnd)
+}
+
+/** Bounds the load that retries add. */
+internal interface RetryBudget {
+    /** Notes a first attempt, which earns a fraction of a retry. */
+    fun earn(stage: StageSpec)
+
+    /** Spends one retry, or returns false where none is left. */
+    fun trySpend(stage: StageSpec): Boolean
 }
+
+/** Decides where a token stream goes on after its engine was lost. */
+internal fun interface ResumeSource {
+    /** Returns where the stream of [stage] goes on from token [nextToken], on an engine that is not in [excluded]. */
+    fun resume(
+        exchange: Exchange,
+        stage: StageSpec,
+        excluded: Set<BackendId>,
+        nextToken: Long,
+    ): Outcome<ResumePoint>
+}
+
+/**
+ * Where a token stream goes on.
+ *
+ * @property kvFrom the engine that the KV cache can be imported from, or null where the prompt is read anew
+ */
+internal class ResumePoint(
+    val backend: BackendSpec,
+    val kvFrom: BackendSpec? = null,
+)
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Refusals.kt
@@ -0,0 +1,17 @@
+package io.monsoonpath.app.request
+
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Ran
+import io.monsoonpath.model.Refusal
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.Step
+
+/** Returns a refusal; unless said otherwise, nothing has run. */
+internal fun refused(
+    reason: RefusalReason,
+    step: Step,
+    detail: String,
+    retryAfterMs: Long? = null,
+    peer: String? = null,
+    ran: Ran = Ran.NOT_RUN,
+) = Outcome.Refused(Refusal(reason, ran, step, detail, peer, retryAfterMs = retryAfterMs))
--- a/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
@@ -21,6 +21,7 @@
 import io.monsoonpath.model.StageId
 import io.monsoonpath.model.StageKind
 import io.monsoonpath.model.StageSpec
+import io.monsoonpath.model.TimingSettings
 import io.monsoonpath.model.WorkspaceId
 import io.monsoonpath.model.WorkspaceSpec
 import java.util.HexFormat
@@ -75,5 +76,6 @@
         operator = anyPort,
         platformUrl = platformUrl,
         peerSecretFile = "unused",
+        timing = TimingSettings(shutdownGraceMs = 0),
     )
 }
--- a/model/src/main/kotlin/io/monsoonpath/model/Outcomes.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Outcomes.kt
@@ -6,11 +6,11 @@
 /** Whether any part of a refused request can have run on a backend server. */
 @Serializable
 enum class Ran {
-    /** No byte of the request can have reached a backend server that was not idempotent for it. */
+    /** No byte of the request can have reached a backend server. */
     @SerialName("not-run")
     NOT_RUN,
 
-    /** A non-idempotent call may have run; its outcome is not known. */
+    /** A part of the request ran or may have run; its outcome is not known. */
     @SerialName("unknown")
     UNKNOWN,
 }
--- a/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
@@ -33,11 +33,21 @@
     val port: Int,
 )
 
-/** Bounds on what one caller and all callers together may use. */
+/**
+ * Bounds on what one caller and all callers together may use.
+ *
+ * @property maxBodyBytes the largest body of a request
+ * @property maxHeaderBytes the largest header block of a request
+ * @property maxConnections the most connections of callers at once
+ * @property maxRunning the most requests that run at once
+ * @property maxQueued the most requests that wait for their turn
+ * @property callerIdleTimeoutMs how long a connection may be idle, and how long a caller may take to send a request
+ */
 @Serializable
 data class LimitSettings(
     val maxBodyBytes: Long = 1_048_576,
     val maxHeaderBytes: Int = 16_384,
+    val maxConnections: Int = 10_000,
     val maxRunning: Int = 4_000,
     val maxQueued: Int = 8_000,
     val callerIdleTimeoutMs: Long = 30_000,
--- a/model/src/main/kotlin/io/monsoonpath/model/Validation.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Validation.kt
@@ -153,6 +153,7 @@
     problems.require(peerSecretFile.isNotBlank(), "$.peerSecretFile", peerSecretFile, "must name a file")
     problems.requireIn(limits.maxBodyBytes, 1L..67_108_864, "$.limits.maxBodyBytes")
     problems.requireIn(limits.maxHeaderBytes.toLong(), 1_024L..1_048_576, "$.limits.maxHeaderBytes")
+    problems.requireIn(limits.maxConnections.toLong(), 1L..1_000_000, "$.limits.maxConnections")
     problems.requireIn(limits.maxRunning.toLong(), 1L..1_000_000, "$.limits.maxRunning")
     problems.requireIn(limits.maxQueued.toLong(), 0L..1_000_000, "$.limits.maxQueued")
     problems.requireIn(limits.callerIdleTimeoutMs, 100L..3_600_000, "$.limits.callerIdleTimeoutMs")
