--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/peer/MessageCodecProperties.kt
@@ -0,0 +1,87 @@
+package io.monsoonpath.app.peer
+
+import io.monsoonpath.coordination.message.AskRevisions
+import io.monsoonpath.coordination.message.DocumentChange
+import io.monsoonpath.coordination.message.HeldRevisions
+import io.monsoonpath.coordination.message.PartBytes
+import io.monsoonpath.coordination.message.PeerMessage
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import net.jqwik.api.constraints.Size
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class MessageCodecProperties {
+    @Property(seed = "41", tries = 2_000)
+    fun `any bytes are decoded or refused`(
+        @ForAll bytes: ByteArray,
+    ) {
+        assertDecodedOrRefused(bytes)
+    }
+
+    @Property(seed = "42", tries = 5_000)
+    fun `any change to a message is decoded or refused`(
+        @ForAll @IntRange(max = 10_000) at: Int,
+        @ForAll value: Byte,
+        @ForAll @IntRange(max = 10_000) end: Int,
+    ) {
+        SAMPLES.forEach { sample ->
+            val changed = encodeMessage(sample).bytes
+            changed[at % changed.size] = value
+            assertDecodedOrRefused(changed)
+            assertDecodedOrRefused(changed.copyOf(end % changed.size))
+        }
+    }
+
+    @Property(seed = "43", tries = 500)
+    fun `a message comes back as it was sent`(
+        @ForAll sentAtMs: Long,
+        @ForAll configuration: Long,
+        @ForAll @Size(max = 8) parts: List<ByteArray>,
+    ) {
+        val messages =
+            listOf(
+                AskRevisions(sentAtMs, HeldRevisions(configuration, 3)),
+                DocumentChange(1, configuration, 2, listOf(0, 4), ByteArray(16), parts.map { PartBytes(it) }),
+            )
+        messages.forEach { message ->
+            val decoded = decodeMessage(encodeMessage(message).bytes) as DecodedMessage.Known
+            assertEquals(message, decoded.message)
+        }
+    }
+
+    @Property(seed = "44", tries = 200)
+    fun `nesting and lengths beyond the bounds are refused before they are decoded`(
+        @ForAll @IntRange(min = 13, max = 100_000) depth: Int,
+        @ForAll @IntRange(min = 1_000, max = Int.MAX_VALUE) length: Int,
+    ) {
+        val nested = ByteArray(depth) { ARRAY_OF_ONE }
+        val long = byteArrayOf(BYTES_OF_INT) + length.toBytes()
+        val many = byteArrayOf(ARRAY_OF_INT) + length.toBytes()
+        listOf(nested, long, many).forEach { bytes ->
+            val refusal = runCatching { requireBoundedCbor(bytes) }.exceptionOrNull()
+            assertTrue(refusal is MalformedFrameException, "was $refusal")
+        }
+    }
+
+    private fun assertDecodedOrRefused(bytes: ByteArray) {
+        listOf<(ByteArray) -> Any>(::decodeMessage, ::decodeBatch).forEach { decode ->
+            val failure = runCatching { decode(bytes) }.exceptionOrNull()
+            assertTrue(failure == null || failure is MalformedFrameException, "was $failure")
+        }
+    }
+
+    private fun Int.toBytes() = ByteArray(4) { (this ushr (24 - 8 * it)).toByte() }
+
+    private companion object {
+        const val ARRAY_OF_ONE = 0x81.toByte()
+        const val BYTES_OF_INT = 0x5a.toByte()
+        const val ARRAY_OF_INT = 0x9a.toByte()
+        val SAMPLES: List<PeerMessage> =
+            listOf(
+                AskRevisions(1_000, HeldRevisions(7, 3, 120, "e1")),
+                DocumentChange(0, 8, 7, listOf(0, 4, -1, 1), ByteArray(16) { 5 }, listOf(PartBytes("a part".toByteArray()))),
+            )
+    }
+}
