--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
@@ -0,0 +1,19 @@
+package io.monsoonpath.coordination
+
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.model.Event
+import io.monsoonpath.model.InstanceId
+
+/** What a decision asks its surroundings to do. */
+sealed interface Effect {
+    /** Send [message] to the process that is now running as [to]; it may be lost. */
+    data class Send(
+        val to: InstanceId,
+        val message: PeerMessage,
+    ) : Effect
+
+    /** Record [event] on the time line. */
+    data class Emit(
+        val event: Event,
+    ) : Effect
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/KnownLists.kt
@@ -0,0 +1,100 @@
+package io.monsoonpath.coordination.membership
+
+import io.monsoonpath.coordination.message.ListAnswer
+import io.monsoonpath.model.InstanceList
+import io.monsoonpath.model.ListRevision
+import io.monsoonpath.model.Region
+import java.util.TreeMap
+
+/** The list in force and the older ones under which an instance may still have a right. */
+internal class KnownLists(
+    private val region: Region,
+) {
+    private class Known(
+        val whole: InstanceList,
+        val cell: CellList,
+        var supersededMs: Long? = null,
+        var confirmedMs: Long? = null,
+    )
+
+    private val lists = TreeMap<Long, Known>()
+    private var unsettled = emptyList<CellList>()
+
+    /** The revision below which every right has ended. */
+    var settled = ListRevision.NONE
+        private set
+
+    /** The list in force, or null before the first one. */
+    val newest: InstanceList? get() = lists.lastEntry()?.value?.whole
+
+    /** The revision of the list in force. */
+    val newestRevision: ListRevision get() = newest?.revision ?: ListRevision.NONE
+
+    /** The cell's members in the list in force; empty before the first one. */
+    val newestCell: CellList get() = lists.lastEntry()?.value?.cell ?: EMPTY_CELL
+
+    /** Adds [list] unless it is known or settled; returns whether it was added. */
+    fun add(
+        list: InstanceList,
+        nowMs: Long,
+    ): Boolean {
+        val revision = list.revision.value
+        if (revision in lists || (revision < settled.value && lists.isNotEmpty())) return false
+        val known = Known(list, CellList(list.revision, list.members.filter { it.region == region }))
+        if (lists.isNotEmpty() && revision < lists.lastKey()) known.supersededMs = nowMs
+        if (lists.isNotEmpty() && revision > lists.lastKey()) lists.lastEntry().value.supersededMs = nowMs
+        lists[revision] = known
+        prune()
+        return true
+    }
+
+    /** Returns the older lists that are not settled, oldest first. */
+    fun unsettled(): List<CellList> = unsettled
+
+    /** Returns the whole list with [revision] if it is kept. */
+    fun whole(revision: Long): InstanceList? = lists[revision]?.whole
+
+    /** Returns since when a newer list than [revision] has been known. */
+    fun supersededSinceMs(revision: ListRevision): Long? = lists[revision.value]?.supersededMs
+
+    /** Returns since when a quorum has confirmed a newer list than [revision]. */
+    fun confirmedAtMs(revision: ListRevision): Long? = lists[revision.value]?.confirmedMs
+
+    /** Notes that a quorum confirmed a newer list than [revision]. */
+    fun confirm(
+        revision: ListRevision,
+        nowMs: Long,
+    ) {
+        lists[revision.value]?.confirmedMs = nowMs
+    }
+
+    /** Settles the oldest lists as far as each was confirmed at [confirmedByMs] or before. */
+    fun settleConfirmed(confirmedByMs: Long) {
+        val open = lists.entries.firstOrNull { (_, it) -> it.confirmedMs.let { at -> at == null || at > confirmedByMs } }
+        open?.let { settle(ListRevision(it.key)) }
+    }
+
+    /** Notes that every right under a revision below [revision] has ended. */
+    fun settle(revision: ListRevision) {
+        if (revision <= settled) return
+        settled = revision
+        prune()
+    }
+
+    /** Returns the revisions that [answer] names and that are neither known nor settled. */
+    fun missing(answer: ListAnswer): List<Long> = (answer.unsettled + answer.newest).filter { isMissing(it) }
+
+    /** Returns whether all lists that the answer in [view] rests on are known here. */
+    fun knowsAll(view: PeerView): Boolean = !isMissing(view.newest) && view.unsettled.none { isMissing(it) }
+
+    private fun isMissing(revision: Long) = revision > 0 && revision >= settled.value && revision !in lists
+
+    private fun prune() {
+        while (lists.size > 1 && lists.firstKey() < settled.value) lists.pollFirstEntry()
+        unsettled = lists.headMap(newestRevision.value).values.map { it.cell }
+    }
+
+    private companion object {
+        val EMPTY_CELL = CellList(ListRevision.NONE, emptyList())
+    }
+}
