Drive spread and membership in the entry instance

Cause: each instance read the platform for itself, and knew nothing of its peers.

Change: a coordinator runs the decisions in one loop, over authenticated peer connections and a platform client that joins documents split over several values. Keyed routes are served only while the configuration is known to be current. The stand-in platform serves any value and the instance list, and can be slow, down, frozen or lagging; closing ends waiting watches at once.

--- a/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
@@ -11,6 +11,7 @@
 import io.monsoonpath.app.standin.StandInBackend
 import io.monsoonpath.app.standin.StandInPlatform
 import io.monsoonpath.app.standin.demoConfiguration
+import io.monsoonpath.app.standin.demoInstances
 import io.monsoonpath.app.standin.demoSettings
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -35,6 +36,7 @@
     platform.publish(demoConfiguration(backends.mapValues { it.value.url }))
     val instances = (1..3).map { EntryInstance(demoSettings(it, platform.url)) }
     instances.forEach { it.start() }
+    platform.publish(demoInstances(1, instances.associate { it.id to it.coordinator.peerPort }))
     instances.forEach { it.ready.get(READY_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
     val failures = (1..REQUESTS).mapNotNull { sendOne(it, instances[it % instances.size], backends.values) }
     println(
--- a/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.app.command
 
 import io.monsoonpath.app.http.EntryInstance
+import io.monsoonpath.app.peer.readPeerSecrets
 import io.monsoonpath.model.Reading
 import io.monsoonpath.model.Settings
 import io.monsoonpath.model.readSettings
@@ -18,7 +19,7 @@
     private val settingsFile by option(ArgType.String, fullName = "settings", description = "Settings in JSON").required()
 
     override fun execute() {
-        val instance = EntryInstance(loadSettings(settingsFile))
+        val instance = loadInstance(settingsFile)
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -48,3 +49,12 @@
 
 /** The exit code for bad arguments, settings or documents. */
 internal const val EXIT_BAD_INPUT = 2
+
+/** Creates the instance that the settings in [file] describe, or ends the process with [EXIT_BAD_INPUT]. */
+private fun loadInstance(file: String): EntryInstance {
+    val settings = loadSettings(file)
+    val secrets =
+        runCatching { readPeerSecrets(File(settings.peerSecretFile)) }
+            .getOrElse { fail("$file: $.peerSecretFile: ${settings.peerSecretFile}: ${it.message}") }
+    return EntryInstance(settings, secrets)
+}
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -0,0 +1,141 @@
+package io.monsoonpath.app.control
+
+import io.monsoonpath.app.config.ConfigurationStore
+import io.monsoonpath.app.peer.PeerCounters
+import io.monsoonpath.app.peer.PeerSecrets
+import io.monsoonpath.app.peer.PeerTransport
+import io.monsoonpath.app.platform.PlatformClient
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.Membership
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.spread.PublishedDocument
+import io.monsoonpath.coordination.spread.Spread
+import io.monsoonpath.coordination.spread.SpreadEffect
+import io.monsoonpath.coordination.spread.SpreadStatus
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.Endpoint
+import io.monsoonpath.model.EventSink
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.InstanceList
+import io.monsoonpath.model.Settings
+
+/**
+ * Runs the decisions that instances take together: drives them with ticks, messages and reads of the platform, and carries out what
+ * they ask for. All of them run in one loop; what the path of a request reads are snapshots.
+ *
+ * @param reaches whether messages to and from an instance pass; tests cut links with it
+ */
+internal class Coordinator(
+    self: PeerId,
+    settings: Settings,
+    secrets: PeerSecrets,
+    private val clock: ClockMs,
+    private val events: EventSink,
+    private val configurations: ConfigurationStore,
+    reaches: (InstanceId) -> Boolean = { true },
+) : AutoCloseable {
+    private val loop = ControlLoop("control")
+    private val platform = PlatformClient(settings.platformUrl)
+    private val spread = Spread(self, settings.region, settings.failureDomain, clock.nowMs(), self.incarnation.value)
+    private val membership = Membership(self, settings.region, MembershipTiming(settings.timing.rightMs), clock.nowMs())
+
+    @Volatile
+    private var addresses = emptyMap<InstanceId, Endpoint>()
+    private val transport =
+        PeerTransport(
+            self,
+            settings.peer,
+            secrets,
+            events,
+            { addresses[it] },
+            { from, message -> loop.post { take(from, message) } },
+            reaches,
+        )
+
+    /** The state of the spread of documents. */
+    val spreadStatus: SpreadStatus get() = spread.status
+
+    /** What is known of this process's place among the instances. */
+    val standing: Standing get() = membership.standing
+
+    /** What the transport has carried and dropped. */
+    val counters: PeerCounters get() = transport.counters
+
+    /** The port on which peers connect. */
+    val peerPort: Int get() = transport.port
+
+    /** Starts to listen, to read the platform and to talk to peers. */
+    fun start() {
+        transport.start()
+        loop.every(TICK_MS) { tick() }
+    }
+
+    /** Stops the loop until the returned handle is closed; tests pause a process with it. */
+    fun pause(): AutoCloseable = loop.pause()
+
+    override fun close() {
+        loop.close()
+        platform.close()
+        transport.close()
+    }
+
+    private fun tick() {
+        carryOut(spread.onTick(clock.nowMs()))
+        carryOutAll(membership.onTick(clock.nowMs()))
+    }
+
+    private fun take(
+        from: PeerId,
+        message: PeerMessage,
+    ) {
+        carryOut(spread.onMessage(clock.nowMs(), from, message))
+        carryOutAll(membership.onMessage(clock.nowMs(), from, message))
+    }
+
+    private fun carryOutAll(effects: List<Effect>) =
+        effects.forEach { effect ->
+            when (effect) {
+                is Effect.Send -> transport.send(effect.to, effect.message)
+                is Effect.Emit -> events.emit(effect.event)
+            }
+        }
+
+    private fun carryOut(effects: List<SpreadEffect>) =
+        effects.forEach { effect ->
+            when (effect) {
+                is SpreadEffect.Send -> transport.send(effect.to, effect.message)
+                is SpreadEffect.Read -> read(effect)
+                is SpreadEffect.Adopt -> adopt(effect)
+                is SpreadEffect.Reject -> configurations.reject(effect.kind.valueName, effect.problems)
+            }
+        }
+
+    private fun read(read: SpreadEffect.Read) {
+        val sentMs = clock.nowMs()
+        platform.read(read.kind, read.after, read.waitMs).thenAccept { result ->
+            loop.post { carryOut(spread.onRead(clock.nowMs(), sentMs, read.kind, result)) }
+        }
+    }
+
+    private fun adopt(adopted: SpreadEffect.Adopt) {
+        when (val document = adopted.document) {
+            is PublishedDocument.OfConfiguration -> configurations.adopt(document.configuration, adopted.source)
+            is PublishedDocument.OfInstances -> adopt(document.list, adopted.source)
+        }
+    }
+
+    private fun adopt(
+        list: InstanceList,
+        source: String,
+    ) {
+        addresses = list.members.associate { it.id to it.peer }
+        carryOutAll(membership.onList(clock.nowMs(), list, source))
+    }
+
+    private companion object {
+        const val TICK_MS = 20L
+    }
+}
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/CurrencyGate.kt
@@ -0,0 +1,26 @@
+package io.monsoonpath.app.control
+
+import io.monsoonpath.app.request.ServiceGate
+import io.monsoonpath.app.request.refused
+import io.monsoonpath.model.Access
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.Step
+
+/** Returns [gate] with the rule that keyed routes are served only while the configuration is known to be current. */
+internal fun currencyGate(
+    gate: ServiceGate,
+    coordinator: Coordinator,
+    clock: ClockMs,
+): ServiceGate =
+    ServiceGate { exchange ->
+        val needsCurrency = exchange.route.access == Access.KEYED
+        when {
+            needsCurrency && !coordinator.spreadStatus.isCurrent(clock.nowMs()) -> NOT_CURRENT.refusal
+            else -> gate.refusalOrNull(exchange)
+        }
+    }
+
+private const val RETRY_AFTER_MS = 1_000L
+private val NOT_CURRENT =
+    refused(RefusalReason.NOT_IN_SERVICE, Step.AUTHENTICATE, "the keys in force are not known here at the moment", RETRY_AFTER_MS)
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -5,29 +5,42 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.monsoonpath.app.config.ConfigurationStore
+import io.monsoonpath.app.control.Coordinator
+import io.monsoonpath.app.control.currencyGate
 import io.monsoonpath.app.event.EventLog
-import io.monsoonpath.app.platform.PlatformReader
+import io.monsoonpath.app.peer.PeerSecrets
+import io.monsoonpath.app.peer.readPeerSecrets
 import io.monsoonpath.app.request.Next
 import io.monsoonpath.app.request.RequestMetrics
 import io.monsoonpath.app.request.RequestPorts
 import io.monsoonpath.app.request.localPorts
 import io.monsoonpath.app.request.requestPath
+import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.model.Endpoint
 import io.monsoonpath.model.Incarnation
+import io.monsoonpath.model.InstanceId
 import io.monsoonpath.model.Settings
 import io.monsoonpath.model.systemClockMs
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import java.io.File
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
-/** One running entry instance: its servers, its controllers and the state they publish. */
+/**
+ * One running entry instance: its servers, its controllers and the state they publish.
+ *
+ * @param secrets what instances prove to each other
+ * @param reaches whether messages to and from an instance pass; tests cut links with it
+ */
 internal class EntryInstance(
     private val settings: Settings,
+    secrets: PeerSecrets = readPeerSecrets(File(settings.peerSecretFile)),
+    reaches: (InstanceId) -> Boolean = { true },
 ) : AutoCloseable {
     private val clock = systemClockMs()
     private val incarnation = Incarnation(SecureRandom().nextLong())
@@ -49,8 +62,9 @@
             ready.complete(Unit)
         }
 
-    private val platform = PlatformReader(settings.platformUrl) { configurations.adopt(it, "platform") }
-    private val ports: RequestPorts = localPorts(clock, settings.limits, state)
+    /** The decisions that this instance takes together with its peers. */
+    val coordinator = Coordinator(PeerId(settings.instance, incarnation), settings, secrets, clock, events, configurations, reaches)
+    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock))
     private val callerServer = callerServer(requestPath(clock, events, metrics, ports, BackendSender(metrics)))
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
 
@@ -61,15 +75,18 @@
         Gauge.builder("monsoonpath.documents.rejected", configurations) { it.rejections.count.toDouble() }.register(registry)
     }
 
+    /** The id in the platform's instance list. */
+    val id: InstanceId get() = settings.instance
+
     /** The port on which callers are served. */
     val callerPort: Int get() = callerServer.activeLocalPort()
 
     /** The port on which operators are served. */
     val operatorPort: Int get() = operatorServer.activeLocalPort()
 
-    /** Starts the servers and follows the platform's configuration. */
+    /** Starts the servers and joins the other instances. */
     fun start() {
-        platform.start()
+        coordinator.start()
         CompletableFuture.allOf(operatorServer.start(), callerServer.start()).join()
     }
 
@@ -82,7 +99,7 @@
         Thread.sleep(settings.timing.shutdownGraceMs)
         state.close()
         running.awaitNone(settings.timing.shutdownDrainMs)
-        platform.close()
+        coordinator.close()
         CompletableFuture.allOf(callerServer.stop(), operatorServer.stop()).join()
         scope.cancel()
     }
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/platform/PlatformManifest.kt
@@ -0,0 +1,96 @@
+package io.monsoonpath.app.platform
+
+import io.monsoonpath.coordination.spread.Part
+import io.monsoonpath.coordination.spread.PartHash
+import io.monsoonpath.coordination.spread.hashOf
+import io.monsoonpath.coordination.spread.partsOf
+import io.monsoonpath.model.DocumentJson
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+
+/** The longest value that the platform holds. */
+internal const val MAX_VALUE_BYTES = 1_048_576
+
+/**
+ * A value that stands for a document too long for one value: the document is its [parts] one after another.
+ *
+ * @property manifest the form's version, which tells a manifest from a document
+ */
+@Serializable
+internal data class PlatformManifest(
+    val manifest: Int,
+    val revision: Long,
+    val parts: List<PartName>,
+)
+
+/** A value that holds a part of a document; its name ends in the hash of its content. */
+@Serializable
+@JvmInline
+internal value class PartName(
+    val value: String,
+)
+
+/** The values that publish one document: [main] under the document's name, and its parts under theirs. */
+internal class PlatformValues(
+    val main: String,
+    val parts: Map<String, ByteArray>,
+)
+
+/** Returns the values that publish [text] as [name]; a document of more than [maxBytes] is split over several. */
+internal fun valuesOf(
+    name: String,
+    revision: Long,
+    text: String,
+    maxBytes: Int = MAX_VALUE_BYTES,
+): PlatformValues {
+    val bytes = text.toByteArray()
+    if (bytes.size <= maxBytes) return PlatformValues(text, emptyMap())
+    val parts = groupsOf(partsOf(bytes)).associateBy { "$name.${it.nameSuffix()}" }
+    val manifest = PlatformManifest(MANIFEST_VERSION, revision, parts.keys.map { PartName(it) })
+    val main = DocumentJson.encodeToString(PlatformManifest.serializer(), manifest)
+    return PlatformValues(main, parts)
+}
+
+/** Returns the manifest in [text], or null if [text] is a document or anything else. */
+internal fun manifestOrNull(text: ByteArray): PlatformManifest? {
+    if (!MANIFEST_FORM.containsMatchIn(text.decodeToString(0, minOf(text.size, MANIFEST_START_BYTES)))) return null
+    return try {
+        DocumentJson
+            .decodeFromString(PlatformManifest.serializer(), text.decodeToString())
+            .takeIf { it.manifest == MANIFEST_VERSION && it.parts.size in 1..MAX_PARTS }
+    } catch (_: SerializationException) {
+        null
+    }
+}
+
+/** Returns whether [content] is what [name] names. */
+internal fun PartName.names(content: ByteArray): Boolean = value.endsWith(".${content.nameSuffix()}")
+
+/** Joins parts to groups at places that depend on the content alone, so that a change leaves the other groups as they are. */
+private fun groupsOf(parts: List<Part>): List<ByteArray> {
+    val groups = ArrayList<ByteArray>()
+    val group = ArrayList<ByteArray>()
+    parts.forEachIndexed { i, part ->
+        group += part.bytes
+        val isCut = part.hash.low and GROUP_MASK == 0L || group.size == MAX_GROUP_PARTS || i == parts.lastIndex
+        if (isCut) {
+            groups += group.reduce { joined, bytes -> joined + bytes }
+            group.clear()
+        }
+    }
+    return groups
+}
+
+private fun ByteArray.nameSuffix(): String = hashOf(this).toHex()
+
+private fun PartHash.toHex() =
+    high.toULong().toString(RADIX).padStart(HEX_DIGITS, '0') + low.toULong().toString(RADIX).padStart(HEX_DIGITS, '0')
+
+private const val MANIFEST_VERSION = 1
+private const val MANIFEST_START_BYTES = 64
+private const val MAX_PARTS = 4_096
+private const val MAX_GROUP_PARTS = 128
+private const val GROUP_MASK = 63L
+private const val RADIX = 16
+private const val HEX_DIGITS = 16
+private val MANIFEST_FORM = Regex("^\\s*\\{\\s*\"manifest\"\\s*:")
--- a/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
@@ -9,8 +9,11 @@
 import io.monsoonpath.model.Endpoint
 import io.monsoonpath.model.FailureDomain
 import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.InstanceList
 import io.monsoonpath.model.KeyId
 import io.monsoonpath.model.KeySpec
+import io.monsoonpath.model.ListRevision
+import io.monsoonpath.model.Member
 import io.monsoonpath.model.PipelineId
 import io.monsoonpath.model.PipelineSpec
 import io.monsoonpath.model.PoolId
@@ -24,6 +27,7 @@
 import io.monsoonpath.model.TimingSettings
 import io.monsoonpath.model.WorkspaceId
 import io.monsoonpath.model.WorkspaceSpec
+import java.io.File
 import java.util.HexFormat
 
 /** The key of the demonstration's workspace; it guards nothing but the stand-ins. */
@@ -75,7 +79,25 @@
         peer = anyPort,
         operator = anyPort,
         platformUrl = platformUrl,
-        peerSecretFile = "unused",
+        peerSecretFile = demoSecretFile,
         timing = TimingSettings(shutdownGraceMs = 0),
     )
 }
+
+/** A file with the secret of the demonstration's instances; it guards nothing but the stand-ins. */
+private val demoSecretFile: String by lazy {
+    val file = File.createTempFile("monsoonpath-demo", ".secret")
+    file.deleteOnExit()
+    file.writeText("a secret of the demonstration only")
+    file.path
+}
+
+/** Returns the instance list with [revision] that has the demonstration's instances at their peer [ports]. */
+internal fun demoInstances(
+    revision: Long,
+    ports: Map<InstanceId, Int>,
+): InstanceList =
+    InstanceList(
+        ListRevision(revision),
+        ports.map { (id, port) -> Member(id, Endpoint("127.0.0.1", port), Region("r1"), FailureDomain("fd1")) },
+    )
--- a/app/src/main/kotlin/io/monsoonpath/app/standin/StandInPlatform.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/standin/StandInPlatform.kt
@@ -1,36 +1,71 @@
 package io.monsoonpath.app.standin
 
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServiceRequestContext
+import io.monsoonpath.app.platform.MAX_VALUE_BYTES
+import io.monsoonpath.app.platform.REVISION_HEADER
+import io.monsoonpath.app.platform.valuesOf
 import io.monsoonpath.model.Configuration
 import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.InstanceList
 import java.net.InetSocketAddress
+import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
-/** A stand-in for the platform's configuration service: it can be read and watched, and counts each call. */
+/**
+ * A stand-in for the platform's configuration service and instance list: they can be read and watched, and each call is counted.
+ *
+ * Tests make it slow, take it down, let it serve what it had before, and let the instance list lag.
+ */
 internal class StandInPlatform : AutoCloseable {
-    private val waiting = mutableListOf<CompletableFuture<HttpResponse>>()
-    private var current: Configuration? = null
+    private class Value(
+        val revision: Long,
+        val bytes: ByteArray,
+    )
+
+    private class Watch(
+        val name: String,
+        val after: Long,
+        val answer: CompletableFuture<HttpResponse>,
+    )
+
+    private val lock = Any()
+    private val watches = mutableListOf<Watch>()
+    private val values = HashMap<String, Value>()
+    private var frozen: Map<String, Value>? = null
 
     /** The number of calls so far; a waiting watch counts as one. */
     val calls = AtomicLong()
 
+    /** Whether every call fails. */
+    @Volatile
+    var isDown = false
+
+    /** How long each call takes beyond its wait. */
+    @Volatile
+    var delayMs = 0L
+
+    /** How long after [publish] a new instance list is served. */
+    @Volatile
+    var listLagMs = 0L
+
     private val server =
         Server
             .builder()
             .http(InetSocketAddress("127.0.0.1", 0))
             .requestTimeoutMillis(0)
-            .service("/v1/values/configuration") { ctx, _ ->
-                calls.incrementAndGet()
-                val after = ctx.queryParam("after")?.toLongOrNull() ?: 0
-                val waitMs = ctx.queryParam("waitMs")?.toLongOrNull() ?: 0
-                watch(after, waitMs, ctx.eventLoop())
-            }.build()
+            .gracefulShutdownTimeoutMillis(0, 0)
+            .service("/v1/values/{name}") { ctx, _ -> serve(ctx, ctx.pathParam("name").orEmpty()) }
+            .service("/v1/instances") { ctx, _ -> serve(ctx, INSTANCES) }
+            .build()
 
     /** The base address. */
     val url: String get() = "http://127.0.0.1:${server.activeLocalPort()}"
@@ -41,35 +76,118 @@
         return this
     }
 
-    /** Publishes [configuration] to readers and waiting watches. */
-    fun publish(configuration: Configuration) {
+    /** Publishes [configuration] to readers and waiting watches, split over several values if it is long. */
+    fun publish(
+        configuration: Configuration,
+        maxValueBytes: Int = MAX_VALUE_BYTES,
+    ) = publishText(
+        configuration.revision.value,
+        DocumentJson.encodeToString(Configuration.serializer(), configuration),
+        maxValueBytes,
+    )
+
+    /** Publishes [text] as the configuration with [revision], valid or not. */
+    fun publishText(
+        revision: Long,
+        text: String,
+        maxValueBytes: Int = MAX_VALUE_BYTES,
+    ) {
+        val split = valuesOf(CONFIGURATION, revision, text, maxValueBytes)
+        split.parts.forEach { (name, bytes) -> put(name, Value(revision, bytes)) }
+        put(CONFIGURATION, Value(revision, split.main.toByteArray()))
+    }
+
+    /** Publishes [list]; it is served after [listLagMs]. */
+    fun publish(list: InstanceList) {
+        val value = Value(list.revision.value, DocumentJson.encodeToString(InstanceList.serializer(), list).toByteArray())
+        if (listLagMs == 0L) return put(INSTANCES, value)
+        CompletableFuture.delayedExecutor(listLagMs, TimeUnit.MILLISECONDS).execute { put(INSTANCES, value) }
+    }
+
+    /** Serves from now on what is published now, whatever is published later; [thaw] ends it. */
+    fun freeze() = synchronized(lock) { frozen = values.toMap() }
+
+    /** Serves again what was published last. */
+    fun thaw() {
+        synchronized(lock) { frozen = null }
+        wake()
+    }
+
+    private fun put(
+        name: String,
+        value: Value,
+    ) {
+        synchronized(lock) { values[name] = value }
+        wake()
+    }
+
+    private fun wake() {
         val woken =
-            synchronized(waiting) {
-                current = configuration
-                waiting.toList().also { waiting.clear() }
+            synchronized(lock) {
+                watches.mapNotNull { watch -> newerOrNull(watch.name, watch.after)?.let { watch to it } }.also { due ->
+                    watches.removeAll(due.map { it.first }.toSet())
+                }
             }
-        woken.forEach { it.complete(configuration.toResponse()) }
+        woken.forEach { (watch, value) -> watch.answer.complete(value.toResponse()) }
+    }
+
+    private fun serve(
+        ctx: ServiceRequestContext,
+        name: String,
+    ): HttpResponse {
+        calls.incrementAndGet()
+        val after = ctx.queryParam("after")?.toLongOrNull() ?: 0
+        val waitMs = ctx.queryParam("waitMs")?.toLongOrNull() ?: 0
+        val answer = if (isDown) HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE) else watch(name, after, waitMs, ctx.eventLoop())
+        return if (delayMs == 0L) answer else HttpResponse.delayed(answer, Duration.ofMillis(delayMs))
     }
 
     private fun watch(
+        name: String,
         after: Long,
         waitMs: Long,
         timer: ScheduledExecutorService,
     ): HttpResponse {
-        val future = CompletableFuture<HttpResponse>()
-        synchronized(waiting) {
-            val configuration = current
-            if (configuration != null && configuration.revision.value > after) return configuration.toResponse()
-            waiting += future
+        val watch = Watch(name, after, CompletableFuture())
+        synchronized(lock) {
+            newerOrNull(name, after)?.let { return it.toResponse() }
+            if (waitMs <= 0) return unchanged(name)
+            watches += watch
         }
-        timer.schedule({ future.complete(HttpResponse.of(HttpStatus.NOT_MODIFIED)) }, waitMs, TimeUnit.MILLISECONDS)
-        return HttpResponse.of(future)
+        timer.schedule({ end(watch) }, waitMs, TimeUnit.MILLISECONDS)
+        return HttpResponse.of(watch.answer)
+    }
+
+    private fun end(watch: Watch) {
+        synchronized(lock) { watches -= watch }
+        watch.answer.complete(unchanged(watch.name))
+    }
+
+    private fun served(name: String): Value? = (frozen ?: values)[name]
+
+    private fun newerOrNull(
+        name: String,
+        after: Long,
+    ): Value? = served(name)?.takeIf { it.revision > after }
+
+    private fun unchanged(name: String): HttpResponse {
+        val newest = synchronized(lock) { served(name)?.revision ?: 0 }
+        val status = if (newest == 0L) HttpStatus.NOT_FOUND else HttpStatus.NOT_MODIFIED
+        return HttpResponse.of(ResponseHeaders.builder(status).addLong(REVISION_HEADER, newest).build())
     }
 
-    private fun Configuration.toResponse() =
-        HttpResponse.of(HttpStatus.OK, MediaType.JSON, DocumentJson.encodeToString(Configuration.serializer(), this))
+    private fun Value.toResponse(): HttpResponse {
+        val headers = ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON).addLong(REVISION_HEADER, revision)
+        return HttpResponse.of(headers.build(), HttpData.wrap(bytes))
+    }
 
     override fun close() {
+        synchronized(lock) { watches.toList() }.forEach { end(it) }
         server.stop().join()
     }
+
+    private companion object {
+        const val CONFIGURATION = "configuration"
+        const val INSTANCES = "instances"
+    }
 }
--- a/app/src/test/kotlin/io/monsoonpath/app/peer/PeerTransportTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/peer/PeerTransportTest.kt
@@ -104,11 +104,10 @@
                 .sum() > 0
         }
         assertNull(b.received.poll())
-        assertEquals(
-            1,
+        awaitTrue {
             a.transport.counters.dropped
-                .sum(),
-        )
+                .sum() == 1L
+        }
     }
 
     @Test
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/spread/Spread.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/spread/Spread.kt
@@ -92,8 +92,10 @@
             val inForce = replicas.getValue(kind).revision
             when (result) {
                 is ReadResult.Whole -> onWhole(nowMs, sentMs, kind, result, effects)
-                is ReadResult.Unchanged ->
+                is ReadResult.Unchanged -> {
                     if (result.newest == inForce) noteOwnRead(sentMs, kind, inForce) else schedule.failed(nowMs, leastPauseMs())
+                    if (kind == DocumentKind.INSTANCES && result.newest == 0L) startup?.noteList(nowMs, others = 0)
+                }
                 ReadResult.Failed -> schedule.failed(nowMs, leastPauseMs())
             }
         }
@@ -291,7 +293,7 @@
         schedule.started(nowMs)
         reads++
         val after = replicaOf(kind).revision
-        effects += SpreadEffect.Read(kind, after, if (after == 0L) 0L else watchMs)
+        effects += SpreadEffect.Read(kind, after, if (startup == null) watchMs else 0L)
     }
 
     /** Readers may retry at once; the others share a rate of reads that does not grow with the number of instances. */
