--- a/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
@@ -1,10 +1,12 @@
 package io.monsoonpath.app.command
 
 import io.monsoonpath.app.http.EntryInstance
+import io.monsoonpath.app.peer.readPeerSecrets
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
+import java.io.File
 import java.util.concurrent.CountDownLatch
 
 /** Runs an entry instance until the process is told to stop. */
@@ -13,7 +15,7 @@
     private val settingsFile by option(ArgType.String, fullName = "settings", description = "Settings in JSON").required()
 
     override fun execute() {
-        val instance = EntryInstance(loadSettings(settingsFile))
+        val instance = loadInstance(settingsFile)
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -25,3 +27,12 @@
         stopped.await()
     }
 }
+
+/** Creates the instance that the settings in [file] describe, or ends the process with [EXIT_BAD_INPUT]. */
+private fun loadInstance(file: String): EntryInstance {
+    val settings = loadSettings(file)
+    val secrets =
+        runCatching { readPeerSecrets(File(settings.peerSecretFile)) }
+            .getOrElse { fail("$file: $.peerSecretFile: ${settings.peerSecretFile}: ${it.message}") }
+    return EntryInstance(settings, secrets)
+}
