Put an open-loop load on instances and ask for their status

Cause: nothing measured running instances from the callers' side, and status had no command. Change: load, with arrivals fixed beforehand by a seed, latency from the planned arrival, attainment, refusals by reason and truth, cost by stage from the instances' events, and a plot; status over all instances.

--- a/app/src/main/kotlin/io/monsoonpath/app/Main.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/Main.kt
@@ -5,7 +5,9 @@
 import io.monsoonpath.app.command.DemoCommand
 import io.monsoonpath.app.command.ExplainCommand
 import io.monsoonpath.app.command.InitCommand
+import io.monsoonpath.app.command.LoadCommand
 import io.monsoonpath.app.command.ServeCommand
+import io.monsoonpath.app.command.StatusCommand
 import io.monsoonpath.app.command.TimelineCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
@@ -14,7 +16,8 @@
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
     val parser = ArgParser("monsoonpath", strictSubcommandOptionsOrder = true)
-    parser.subcommands(ServeCommand(), InitCommand(), CheckCommand(), ConfigCommand(), TimelineCommand(), ExplainCommand(), DemoCommand())
+    parser.subcommands(ServeCommand(), InitCommand(), CheckCommand(), ConfigCommand())
+    parser.subcommands(StatusCommand(), ExplainCommand(), TimelineCommand(), LoadCommand(), DemoCommand())
     parser.parse(args.orHelp())
 }
 
--- a/app/src/main/kotlin/io/monsoonpath/app/command/OperatorClient.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/OperatorClient.kt
@@ -44,6 +44,19 @@
 
 private fun client(address: String) = WebClient.builder("http://$address").responseTimeoutMillis(FETCH_TIMEOUT_MS).build()
 
+/** Reads all events that each of [addresses] still keeps, page by page. */
+internal fun fetchEvents(addresses: List<String>): List<EventRecord> = addresses.flatMap { fetchEventsOf(it) }
+
+private fun fetchEventsOf(address: String): List<EventRecord> {
+    val records = mutableListOf<EventRecord>()
+    do {
+        val after = records.lastOrNull()?.seq ?: 0
+        val page = fetchAll(listOf(address), "/events?after=$after").reportingFailures().flatMap { parseEvents(address, it.text) }
+        records += page
+    } while (page.isNotEmpty() && records.size < MAX_EVENTS)
+    return records
+}
+
 /** Returns the answers as pairs of address and text, and reports each failure on standard error. */
 internal fun List<Fetched>.reportingFailures(): List<Fetched.Text> {
     filterIsInstance<Fetched.Failed>().forEach { System.err.println("${it.address}: ${it.cause}") }
@@ -77,4 +90,7 @@
 }
 
 private const val FETCH_TIMEOUT_MS = 5_000L
+
+/** Bounds the reading of an instance that makes events faster than they are read. */
+private const val MAX_EVENTS = 1_000_000
 private val ADDRESS_FORM = Regex("([0-9.]+|\\[[0-9a-fA-F:]+]):\\d{1,5}")
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/StatusCommand.kt
@@ -0,0 +1,68 @@
+package io.monsoonpath.app.command
+
+import io.monsoonpath.app.http.InstanceStatus
+import io.monsoonpath.app.timeline.EventJson
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.serialization.SerializationException
+import kotlin.system.exitProcess
+
+/** Prints what each instance sees, and where the instances differ. */
+@OptIn(ExperimentalCli::class)
+internal class StatusCommand : Subcommand("status", "Ask instances what they see") {
+    private val instances by argument(ArgType.String, description = "Operator addresses, IP:PORT,IP:PORT")
+
+    override fun execute() {
+        val addresses = parseAddresses(instances)
+        val statuses = fetchAll(addresses, "/status").reportingFailures().mapNotNull { it.toStatusOrNull() }
+        statuses.forEach { print(it.toText()) }
+        println(statuses.differences())
+        if (statuses.size < addresses.size) exitProcess(EXIT_INCOMPLETE)
+    }
+
+    private fun Fetched.Text.toStatusOrNull(): InstanceStatus? =
+        try {
+            EventJson.decodeFromString(InstanceStatus.serializer(), text)
+        } catch (e: SerializationException) {
+            System.err.println("$address: no status: ${e.message}")
+            null
+        }
+
+    private companion object {
+        const val EXIT_INCOMPLETE = 1
+    }
+}
+
+/** Returns what one instance sees, a line for each of its controllers. */
+internal fun InstanceStatus.toText(): String =
+    buildString {
+        val service =
+            if (stopping) {
+                "stopping"
+            } else if (ready) {
+                "ready"
+            } else {
+                "not ready"
+            }
+        appendLine("$instance@$incarnation in $failureDomain ($region): $service, configuration $configuration, $runningRequests running")
+        if (rejectedDocuments > 0) appendLine("  $rejectedDocuments documents rejected, the latest: ${lastProblems.joinToString("; ")}")
+        if (eventsDropped > 0) appendLine("  $eventsDropped older events are no longer kept")
+        sections.forEach { (name, section) -> appendLine("  $name: $section") }
+    }
+
+/** Returns a line on whether all instances have the same configuration in force and are ready. */
+internal fun List<InstanceStatus>.differences(): String {
+    val revisions = map { it.configuration.value }.distinct().sorted()
+    val notReady = filterNot { it.ready }.map { it.instance.value }
+    val agreement =
+        if (revisions.size <=
+            1
+        ) {
+            "all on configuration ${revisions.firstOrNull() ?: "none"}"
+        } else {
+            "configurations differ: $revisions"
+        }
+    val readiness = if (notReady.isEmpty()) "all ready" else "not ready: ${notReady.joinToString()}"
+    return "$size instances: $agreement; $readiness"
+}
--- a/app/src/main/kotlin/io/monsoonpath/app/command/TimelineCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/TimelineCommand.kt
@@ -28,8 +28,7 @@
 
     override fun execute() {
         if (instances == null && files.isEmpty()) fail("timeline: --instances or files: (missing): one of them must be given")
-        val fetched = instances?.let { fetchAll(parseAddresses(it), "/events") }.orEmpty()
-        val live = fetched.reportingFailures().flatMap { parseEvents(it.address, it.text) }
+        val live = instances?.let { fetchEvents(parseAddresses(it)) }.orEmpty()
         val saved = files.flatMap { parseEvents(it, readText(it)) }
         val timeline = mergeTimeline(live + saved)
         val text =
@@ -50,8 +49,7 @@
 
     override fun execute() {
         val addresses = parseAddresses(instances ?: fail("explain: --instances: (missing): must be given"))
-        val records = fetchAll(addresses, "/events").reportingFailures().flatMap { parseEvents(it.address, it.text) }
-        val timeline = mergeTimeline(records)
+        val timeline = mergeTimeline(fetchEvents(addresses))
         val own =
             timeline.entries.filter {
                 it.record.event
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/load/LoadRunner.kt
@@ -0,0 +1,114 @@
+package io.monsoonpath.app.load
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import io.monsoonpath.app.http.DEADLINE_HEADER
+import io.monsoonpath.app.http.REQUEST_ID_HEADER
+import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.Refusal
+import kotlinx.serialization.SerializationException
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletionException
+import java.util.concurrent.locks.LockSupport
+
+/**
+ * Sends the requests of a plan at their planned times, open loop: a slow answer holds back no later request, and latency
+ * counts from the planned arrival, so a stalled sender cannot hide in the figures.
+ *
+ * @property prefix starts the id of each request of this run
+ * @param keys the keys by flow name
+ */
+internal class LoadRunner(
+    private val plan: LoadPlan,
+    private val keys: Map<String, String>,
+    val prefix: String,
+) {
+    private val clients =
+        plan.targets.map {
+            WebClient
+                .builder(it)
+                .responseTimeoutMillis(RESPONSE_TIMEOUT_MS)
+                .maxResponseLength(MAX_ANSWER_BYTES)
+                .build()
+        }
+
+    /** Sends everything and returns once every request has ended; takes the plan's duration and at most a minute more. */
+    fun run(): LoadResults {
+        val results = LoadResults(plan)
+        val startNs = System.nanoTime()
+        val ends = plan.arrivals().mapIndexed { i, arrival -> sendAt(startNs, i, arrival, results) }
+        ends.forEach { it.join() }
+        return results
+    }
+
+    private fun sendAt(
+        startNs: Long,
+        number: Int,
+        arrival: Arrival,
+        results: LoadResults,
+    ): CompletableFuture<Unit> {
+        val dueNs = startNs + (arrival.atMs * NS_PER_MS).toLong()
+        waitUntil(dueNs)
+        return clients[number % clients.size].execute(arrival.flow.toRequest("$prefix-$number")).aggregate().handle { answer, fault ->
+            val latencyMs = (System.nanoTime() - dueNs) / NS_PER_MS.toLong()
+            results.of(arrival.flow.name).record(outcomeOf(answer, fault, arrival.flow), latencyMs, arrival.flow.deadlineMs)
+        }
+    }
+
+    private fun waitUntil(dueNs: Long) {
+        while (true) {
+            val leftNs = dueNs - System.nanoTime()
+            if (leftNs <= 0) return
+            LockSupport.parkNanos(leftNs)
+        }
+    }
+
+    private fun Flow.toRequest(id: String): HttpRequest {
+        val headers = RequestHeaders.builder(HttpMethod.POST, path).contentType(MediaType.JSON)
+        headers.add(REQUEST_ID_HEADER, id)
+        headers.addLong(DEADLINE_HEADER, deadlineMs)
+        keys[name]?.let { headers.add(HttpHeaderNames.AUTHORIZATION, "Bearer $it") }
+        if (stream) headers.add(HttpHeaderNames.ACCEPT, MediaType.EVENT_STREAM.toString())
+        return HttpRequest.of(headers.build(), HttpData.ofUtf8(body.toString()))
+    }
+
+    private companion object {
+        const val RESPONSE_TIMEOUT_MS = 60_000L
+        const val MAX_ANSWER_BYTES = 64L * 1_048_576
+        const val NS_PER_MS = 1_000_000.0
+    }
+}
+
+/** Tells how a request ended; a stream without its end event is a failure, not an answer. */
+private fun outcomeOf(
+    answer: AggregatedHttpResponse?,
+    fault: Throwable?,
+    flow: Flow,
+): LoadOutcome {
+    if (answer == null) return LoadOutcome.Failed(((fault as? CompletionException)?.cause ?: fault)?.javaClass?.simpleName ?: "no answer")
+    val text = answer.contentUtf8()
+    return when {
+        answer.status() != HttpStatus.OK -> refusalOf(text, answer.status())
+        flow.stream && END_EVENT !in text -> LoadOutcome.Failed("stream without its end")
+        else -> LoadOutcome.Answered
+    }
+}
+
+private fun refusalOf(
+    text: String,
+    status: HttpStatus,
+): LoadOutcome =
+    try {
+        LoadOutcome.Refused(DocumentJson.decodeFromString(Refusal.serializer(), text))
+    } catch (_: SerializationException) {
+        LoadOutcome.Failed("status ${status.code()} without a refusal")
+    }
+
+private const val END_EVENT = "event: end"
