Damage documents at random, and read the end of streams in a load

Cause: documents were only tested with chosen faults; the load tool took any stream with an end event for whole. Change: 5,000 seeded damages of settings, configurations and lists; a load's stream ends by its last event only. Measured: no damage crashes a reader, every rejection names path and rule.

--- a/app/src/main/kotlin/io/monsoonpath/app/load/LoadRunner.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/load/LoadRunner.kt
@@ -86,7 +86,7 @@
     }
 }
 
-/** Tells how a request ended; a stream without its end event is a failure, not an answer. */
+/** Tells how a request ended; a stream without its end event is a failure or a refusal, not an answer. */
 private fun outcomeOf(
     answer: AggregatedHttpResponse?,
     fault: Throwable?,
@@ -96,11 +96,16 @@
     val text = answer.contentUtf8()
     return when {
         answer.status() != HttpStatus.OK -> refusalOf(text, answer.status())
-        flow.stream && END_EVENT !in text -> LoadOutcome.Failed("stream without its end")
+        flow.stream && answer.contentType()?.isCompatible(MediaType.EVENT_STREAM) == true -> streamOutcomeOf(text)
         else -> LoadOutcome.Answered
     }
 }
 
+private fun streamOutcomeOf(text: String): LoadOutcome {
+    val (name, data) = LAST_EVENT.find(text)?.destructured ?: return LoadOutcome.Failed("stream without its end")
+    return if (name == "end") LoadOutcome.Answered else refusalOf(data, HttpStatus.OK)
+}
+
 private fun refusalOf(
     text: String,
     status: HttpStatus,
@@ -111,4 +116,4 @@
         LoadOutcome.Failed("status ${status.code()} without a refusal")
     }
 
-private const val END_EVENT = "event: end"
+private val LAST_EVENT = Regex("event: ?(end|error)\r?\ndata: ?(.*)\s*$")
--- /dev/null
+++ b/model/src/test/kotlin/io/monsoonpath/model/DocumentsProperties.kt
@@ -0,0 +1,78 @@
+package io.monsoonpath.model
+
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.ShrinkingMode
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class DocumentsProperties {
+    /** A change of a document's text at a place between 0 and 1 of its length. */
+    class Damage(
+        val at: Double,
+        val length: Int,
+        val replacement: String,
+    ) {
+        fun applyTo(text: String): String {
+            val start = (at * text.length).toInt()
+            return text.replaceRange(start, minOf(text.length, start + length), replacement)
+        }
+    }
+
+    @Property(tries = 2_000, shrinking = ShrinkingMode.BOUNDED, seed = "1")
+    fun `a damaged configuration is read whole or rejected with reasons`(
+        @ForAll("damages") damages: List<Damage>,
+    ) = assertReadOrRejected(damages.fold(SAMPLE_CONFIGURATION) { text, damage -> damage.applyTo(text) }, ::readConfiguration)
+
+    @Property(tries = 2_000, shrinking = ShrinkingMode.BOUNDED, seed = "2")
+    fun `damaged settings are read whole or rejected with reasons`(
+        @ForAll("damages") damages: List<Damage>,
+    ) = assertReadOrRejected(damages.fold(SAMPLE_SETTINGS) { text, damage -> damage.applyTo(text) }, ::readSettings)
+
+    @Property(tries = 1_000, seed = "3")
+    fun `any text is rejected with reasons as an instance list`(
+        @ForAll text: String,
+    ) = assertReadOrRejected(text, ::readInstanceList)
+
+    @Provide
+    fun damages(): Arbitrary<List<Damage>> {
+        val at = Arbitraries.doubles().between(0.0, 0.99)
+        val length = Arbitraries.integers().between(0, 12)
+        val tokens =
+            Arbitraries.of(
+                "",
+                "0",
+                "-1",
+                "1e999",
+                "9223372036854775808",
+                "null",
+                "true",
+                "\"",
+                "{",
+                "}",
+                "[",
+                "]",
+                ",",
+                ":",
+                "\\u0000",
+                "\uD800",
+                "é",
+            )
+        val damage = at.flatMap { a -> length.flatMap { l -> tokens.map { Damage(a, l, it) } } }
+        return damage.list().ofMinSize(1).ofMaxSize(4)
+    }
+
+    private fun <T> assertReadOrRejected(
+        text: String,
+        read: (String) -> Reading<T>,
+    ) {
+        val reading = read(text)
+        if (reading is Reading.Valid) return
+        val problems = assertIs<Reading.Invalid>(reading).problems
+        assertTrue(problems.isNotEmpty(), "rejected without a reason: $text")
+        assertTrue(problems.all { it.path.startsWith("$") && it.rule.isNotBlank() }, "unclear: $problems")
+    }
+}
