--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/GrantId.kt
@@ -0,0 +1,14 @@
+package io.monsoonpath.coordination
+
+import io.monsoonpath.model.Incarnation
+import io.monsoonpath.model.InstanceId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The id of a claim or permit: [number] counts within the process that asked for it, so no id is used twice. */
+@Serializable
+data class GrantId(
+    @SerialName("i") val instance: InstanceId,
+    @SerialName("p") val incarnation: Incarnation,
+    @SerialName("n") val number: Long,
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/ClaimHolder.kt
@@ -0,0 +1,112 @@
+package io.monsoonpath.coordination.claims
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.ClaimAck
+import io.monsoonpath.coordination.message.ClaimAnswer
+import io.monsoonpath.coordination.message.ClaimAsk
+import io.monsoonpath.coordination.message.ClaimFinish
+import io.monsoonpath.coordination.message.ClaimRecord
+import io.monsoonpath.coordination.message.ClaimRelease
+import io.monsoonpath.coordination.message.ClaimVerdict
+import io.monsoonpath.coordination.message.HandoverAnswer
+import io.monsoonpath.coordination.message.HandoverAsk
+import io.monsoonpath.coordination.message.HandoverKind
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.succession.HolderSafeguards
+import io.monsoonpath.coordination.succession.Succession
+
+/** The part of a process that remembers the claims of which it is a home. */
+internal class ClaimHolder(
+    self: PeerId,
+    timing: ClaimTiming,
+    membership: MembershipTiming,
+    startedMs: Long,
+    safeguards: HolderSafeguards,
+) {
+    private val selfId = self.id
+    private val table = ClaimTable(timing)
+    private val succession =
+        Succession(HandoverKind.CLAIMS, self, CLAIM_HOMES, timing.keepMs, membership.lapseMs, startedMs, safeguards)
+
+    val size: Int get() = table.size
+    val isHandedOver: Boolean get() = succession.isHandedOver()
+
+    fun onStanding(
+        nowMs: Long,
+        next: Standing,
+    ): List<Effect> = succession.onStanding(nowMs, next)
+
+    fun onTick(nowMs: Long): List<Effect> {
+        table.expire(nowMs)
+        return succession.onTick(nowMs)
+    }
+
+    fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> =
+        when (message) {
+            is ClaimAsk -> listOf(Effect.Send(from.id, verdict(nowMs, message)))
+            is ClaimFinish -> {
+                table.finish(message.key, message.id, message.phase, message.outcome)
+                listOf(Effect.Send(from.id, ClaimAck(message.id)))
+            }
+            is ClaimRelease -> {
+                table.release(nowMs, message.key, message.id)
+                listOf(Effect.Send(from.id, ClaimAck(message.id)))
+            }
+            is HandoverAsk -> if (message.kind == HandoverKind.CLAIMS) handOver(nowMs, from, message) else emptyList()
+            is HandoverAnswer -> if (message.kind == HandoverKind.CLAIMS) takeOver(nowMs, from, message) else emptyList()
+            else -> emptyList()
+        }
+
+    private fun verdict(
+        nowMs: Long,
+        ask: ClaimAsk,
+    ): ClaimAnswer {
+        val standing = succession.current ?: return ClaimAnswer(ask.id, ClaimVerdict.ABSTAINED, 0, 0)
+        val resource = ask.key.resource()
+        val homes = standing.homesOf(resource, CLAIM_HOMES)
+        table.expire(nowMs)
+        val known = table[ask.key]
+        val verdict =
+            when {
+                known != null && known.id != ask.id -> ClaimVerdict.HELD
+                selfId !in homes || !succession.owns(resource, nowMs) -> ClaimVerdict.ABSTAINED
+                else -> table.grant(nowMs, ask.key, ask.id)
+            }
+        val answer = ClaimAnswer(ask.id, verdict, standing.revision.value, homes.size)
+        val entry = table[ask.key]
+        return if (verdict == ClaimVerdict.HELD && entry != null) answer.copy(phase = entry.phase, outcome = entry.outcome) else answer
+    }
+
+    private fun handOver(
+        nowMs: Long,
+        from: PeerId,
+        ask: HandoverAsk,
+    ): List<Effect> {
+        val header = succession.answer(nowMs, from, ask) ?: return emptyList()
+        val cell = checkNotNull(succession.current) { "answered without a list" }.cell
+        val parts = table.records(nowMs) { from.id in cell.homesOf(it.resource(), CLAIM_HOMES) }.chunked(RECORDS_PER_PART)
+        if (parts.isEmpty()) return listOf(Effect.Send(from.id, header))
+        return parts.mapIndexed { i, records -> Effect.Send(from.id, header.copy(claims = records, part = i, parts = parts.size)) }
+    }
+
+    private fun takeOver(
+        nowMs: Long,
+        from: PeerId,
+        answer: HandoverAnswer,
+    ): List<Effect> {
+        val records: List<ClaimRecord> = answer.claims
+        if (succession.onAnswer(nowMs, from, answer)) records.forEach { table.merge(nowMs, it) }
+        return succession.onTick(nowMs)
+    }
+
+    private companion object {
+        const val RECORDS_PER_PART = 200
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/ClaimTable.kt
@@ -0,0 +1,147 @@
+package io.monsoonpath.coordination.claims
+
+import io.monsoonpath.coordination.GrantId
+import io.monsoonpath.coordination.message.ClaimKey
+import io.monsoonpath.coordination.message.ClaimPhase
+import io.monsoonpath.coordination.message.ClaimRecord
+import io.monsoonpath.coordination.message.ClaimVerdict
+import io.monsoonpath.model.WorkspaceId
+import java.util.PriorityQueue
+
+/**
+ * The claims that a holder remembers.
+ *
+ * A record lasts until its time-to-live has passed; a full table refuses new claims and forgets none. Records that are handed over
+ * always find room, so that the table can exceed its bound by what it takes over.
+ */
+internal class ClaimTable(
+    private val timing: ClaimTiming,
+) {
+    /** What is remembered of one key. */
+    class Entry(
+        val id: GrantId,
+        var phase: ClaimPhase,
+        var outcome: String,
+        val expiresMs: Long,
+        var isContested: Boolean,
+    )
+
+    private class Expiry(
+        val atMs: Long,
+        val key: ClaimKey,
+    )
+
+    private val entries = HashMap<ClaimKey, Entry>()
+    private val expiries = PriorityQueue<Expiry>(compareBy { it.atMs })
+    private val perWorkspace = HashMap<WorkspaceId, Int>()
+    private val released = LinkedHashMap<GrantId, Long>()
+
+    /** The number of claims remembered. */
+    val size: Int get() = entries.size
+
+    /** Returns the entry of [key], or null if it is not claimed. */
+    operator fun get(key: ClaimKey): Entry? = entries[key]
+
+    /** Grants [key] to [id] unless another claim holds it; granting again to the same claim changes nothing. */
+    fun grant(
+        nowMs: Long,
+        key: ClaimKey,
+        id: GrantId,
+    ): ClaimVerdict {
+        expire(nowMs)
+        val entry = entries[key]
+        return when {
+            entry != null && entry.id == id && !entry.isContested && entry.phase == ClaimPhase.RUNNING -> ClaimVerdict.GRANTED
+            entry != null -> ClaimVerdict.HELD
+            id in released -> ClaimVerdict.ABSTAINED
+            size >= timing.maxClaims || workspaceSize(key.workspace) >= timing.maxClaimsPerWorkspace -> ClaimVerdict.FULL
+            else -> {
+                put(key, Entry(id, ClaimPhase.RUNNING, "", nowMs + timing.keepMs, isContested = false))
+                ClaimVerdict.GRANTED
+            }
+        }
+    }
+
+    /** Records how the claim [id] ended, unless it is known to have come further. */
+    fun finish(
+        key: ClaimKey,
+        id: GrantId,
+        phase: ClaimPhase,
+        outcome: String,
+    ) {
+        val entry = entries[key] ?: return
+        if (entry.id != id || entry.phase >= phase) return
+        entry.phase = phase
+        entry.outcome = outcome.take(MAX_OUTCOME_CHARS)
+    }
+
+    /** Forgets the claim [id], of which nothing was sent; an ask for it that is still on its way is not granted. */
+    fun release(
+        nowMs: Long,
+        key: ClaimKey,
+        id: GrantId,
+    ) {
+        released[id] = nowMs + timing.useMs
+        val entry = entries[key] ?: return
+        if (entry.id == id && entry.phase == ClaimPhase.RUNNING && !entry.isContested) remove(key)
+    }
+
+    /** Adds what another holder remembered; two claims for one key leave it to neither. */
+    fun merge(
+        nowMs: Long,
+        record: ClaimRecord,
+    ) {
+        val entry = entries[record.key]
+        if (entry == null) {
+            put(record.key, Entry(record.id, record.phase, record.outcome, nowMs + record.remainingMs, record.isContested))
+            return
+        }
+        val isOther = entry.id != record.id
+        if (record.phase > entry.phase) {
+            entry.phase = record.phase
+            entry.outcome = record.outcome
+        }
+        if (isOther || record.isContested) entry.isContested = true
+    }
+
+    /** Returns the records of which [isChosen] holds. */
+    fun records(
+        nowMs: Long,
+        isChosen: (ClaimKey) -> Boolean,
+    ): List<ClaimRecord> {
+        expire(nowMs)
+        return entries.filterKeys(isChosen).map { (key, entry) ->
+            ClaimRecord(key, entry.id, entry.phase, entry.outcome, entry.expiresMs - nowMs, entry.isContested)
+        }
+    }
+
+    /** Forgets what has outlived its time-to-live. */
+    fun expire(nowMs: Long) {
+        while (released.isNotEmpty() && released.values.first() <= nowMs) released.remove(released.keys.first())
+        while (expiries.isNotEmpty() && expiries.peek().atMs <= nowMs) {
+            val due = expiries.poll()
+            val entry = entries[due.key]
+            if (entry != null && entry.expiresMs <= nowMs) remove(due.key)
+        }
+    }
+
+    private fun put(
+        key: ClaimKey,
+        entry: Entry,
+    ) {
+        entries[key] = entry
+        expiries += Expiry(entry.expiresMs, key)
+        perWorkspace.merge(key.workspace, 1, Int::plus)
+    }
+
+    private fun remove(key: ClaimKey) {
+        entries.remove(key)
+        perWorkspace.computeIfPresent(key.workspace) { _, n -> if (n == 1) null else n - 1 }
+    }
+
+    private fun workspaceSize(workspace: WorkspaceId) = perWorkspace[workspace] ?: 0
+
+    private companion object {
+        const val MAX_OUTCOME_CHARS = 256
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/Claims.kt
@@ -0,0 +1,228 @@
+package io.monsoonpath.coordination.claims
+
+import io.monsoonpath.coordination.ClaimDecided
+import io.monsoonpath.coordination.ClaimOutcome
+import io.monsoonpath.coordination.ClaimRefusal
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.GrantId
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.ClaimAck
+import io.monsoonpath.coordination.message.ClaimAnswer
+import io.monsoonpath.coordination.message.ClaimAsk
+import io.monsoonpath.coordination.message.ClaimFinish
+import io.monsoonpath.coordination.message.ClaimKey
+import io.monsoonpath.coordination.message.ClaimPhase
+import io.monsoonpath.coordination.message.ClaimRelease
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.succession.HolderSafeguards
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.WorkspaceId
+
+/**
+ * Runs each request id of a workspace at most once within its time-to-live, over all instances.
+ *
+ * The request path asks with [claim], and gets a [ClaimDecided] effect with its token at once or later. It asks [mayUse] at the send,
+ * then reports with [finish], or with [release] if nothing was sent. The class is for one thread.
+ */
+class Claims internal constructor(
+    private val self: PeerId,
+    private val timing: ClaimTiming,
+    membership: MembershipTiming,
+    startedMs: Long,
+    private val safeguards: HolderSafeguards,
+) {
+    /** Creates the decision of the process [self], which started at [startedMs]. */
+    constructor(self: PeerId, timing: ClaimTiming, membership: MembershipTiming, startedMs: Long) :
+        this(self, timing, membership, startedMs, HolderSafeguards())
+
+    private val holder = ClaimHolder(self, timing, membership, startedMs, safeguards)
+    private val attempts = HashMap<Long, ClaimAttempt>()
+    private val tokens = HashMap<Long, Long>()
+    private val notices = ClaimNotices(timing)
+    private var standing: Standing? = null
+    private var nextNumber = 1L
+
+    /** The number of claims that this process remembers as a holder. */
+    val remembered: Int get() = holder.size
+
+    /** Whether a leaving process has handed over all it remembers and may stop. */
+    val isHandedOver: Boolean get() = holder.isHandedOver
+
+    /** Asks for the right to run [request] of [workspace]; the answer carries [token] and comes within [budgetMs]. */
+    fun claim(
+        nowMs: Long,
+        token: Long,
+        workspace: WorkspaceId,
+        request: RequestId,
+        budgetMs: Long,
+    ): List<Effect> {
+        require(token !in attempts) { "token is in use: $token" }
+        val id = GrantId(self.id, self.incarnation, nextNumber++)
+        val attempt =
+            ClaimAttempt(id, ClaimKey(workspace, request), nowMs, nowMs + minOf(budgetMs, timing.useMs), safeguards.claimQuorum)
+        attempts[token] = attempt
+        tokens[id.number] = token
+        return deliver(nowMs) { it += ask(nowMs, attempt) }
+    }
+
+    /** Returns whether the request of the granted claim [token] may be sent now. */
+    fun mayUse(
+        nowMs: Long,
+        token: Long,
+    ): Boolean {
+        val attempt = attempts[token] ?: return false
+        return attempt.isGranted && nowMs < attempt.askedMs + timing.useMs && standing?.mayAct(nowMs) == true
+    }
+
+    /** Records how the request of [token] ended: [outcome] has at most 256 characters and is what a resend is told. */
+    fun finish(
+        nowMs: Long,
+        token: Long,
+        phase: ClaimPhase,
+        outcome: String,
+    ): List<Effect> {
+        val attempt = forget(token) ?: return emptyList()
+        return notify(nowMs, attempt, ClaimFinish(attempt.key, attempt.id, phase, outcome))
+    }
+
+    /** Gives the claim of [token] back; only for a request of which certainly nothing was sent. */
+    fun release(
+        nowMs: Long,
+        token: Long,
+    ): List<Effect> {
+        val attempt = forget(token) ?: return emptyList()
+        return notify(nowMs, attempt, ClaimRelease(attempt.key, attempt.id))
+    }
+
+    /** Takes a new snapshot of membership. */
+    fun onStanding(
+        nowMs: Long,
+        next: Standing,
+    ): List<Effect> {
+        val isNewList = standing?.revision != next.revision
+        standing = next
+        return deliver(nowMs) { out ->
+            out += holder.onStanding(nowMs, next)
+            if (isNewList) attempts.values.filter { !it.isGranted }.forEach { out += ask(nowMs, it) }
+        }
+    }
+
+    /** Takes a message from a peer; messages of other concepts are ignored. */
+    fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> = deliver(nowMs) { it += handle(nowMs, from, message) }
+
+    /** Asks again where answers are missing; call it every 50 ms or so. */
+    fun onTick(nowMs: Long): List<Effect> =
+        deliver(nowMs) { out ->
+            out += holder.onTick(nowMs)
+            out += notices.due(nowMs)
+            for ((token, attempt) in attempts.entries.toList()) {
+                if (attempt.isGranted) continue
+                out += if (nowMs >= attempt.giveUpMs) giveUp(nowMs, token, attempt) else ask(nowMs, attempt)
+            }
+        }
+
+    private fun handle(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> =
+        when (message) {
+            is ClaimAnswer -> onAnswer(nowMs, from, message)
+            is ClaimAck -> emptyList<Effect>().also { notices.onAck(from.id, message.id) }
+            else -> holder.onMessage(nowMs, from, message)
+        }
+
+    private fun ask(
+        nowMs: Long,
+        attempt: ClaimAttempt,
+    ): List<Effect> {
+        val standing = standing ?: return emptyList()
+        if (nowMs < attempt.nextAskMs) return emptyList()
+        attempt.nextAskMs = nowMs + timing.retryMs
+        return standing
+            .homesOf(attempt.key.resource(), CLAIM_HOMES)
+            .filter { attempt.needs(it, standing.revision.value) }
+            .map {
+                attempt.noteAsked(it)
+                Effect.Send(it, ClaimAsk(attempt.key, attempt.id))
+            }
+    }
+
+    private fun onAnswer(
+        nowMs: Long,
+        from: PeerId,
+        answer: ClaimAnswer,
+    ): List<Effect> {
+        if (answer.id.incarnation != self.incarnation) return emptyList()
+        val token = tokens[answer.id.number]
+        val attempt = attempts[token] ?: return emptyList()
+        if (token == null || attempt.isGranted) return emptyList()
+        attempt.onAnswer(from.id, answer)
+        return decide(nowMs, token, attempt)
+    }
+
+    private fun decide(
+        nowMs: Long,
+        token: Long,
+        attempt: ClaimAttempt,
+    ): List<Effect> {
+        val standing = standing ?: return emptyList()
+        return when {
+            attempt.hasQuorum() && standing.mayAct(nowMs) && nowMs < attempt.giveUpMs -> {
+                attempt.isGranted = true
+                listOf(ClaimDecided(token, ClaimOutcome.Granted(attempt.askedMs + timing.useMs)))
+            }
+            attempt.isHopeless(standing.homesOf(attempt.key.resource(), CLAIM_HOMES)) -> giveUp(nowMs, token, attempt)
+            else -> emptyList()
+        }
+    }
+
+    private fun giveUp(
+        nowMs: Long,
+        token: Long,
+        attempt: ClaimAttempt,
+    ): List<Effect> {
+        val held = attempt.held()
+        val outcome =
+            when {
+                held != null -> ClaimOutcome.Duplicate(held.phase, held.outcome)
+                attempt.isFull() -> ClaimOutcome.Refused(ClaimRefusal.FULL)
+                standing?.mayAct(nowMs) != true -> ClaimOutcome.Refused(ClaimRefusal.NO_RIGHT)
+                else -> ClaimOutcome.Refused(ClaimRefusal.UNREACHABLE)
+            }
+        return release(nowMs, token) + ClaimDecided(token, outcome)
+    }
+
+    private fun forget(token: Long): ClaimAttempt? = attempts.remove(token)?.also { tokens.remove(it.id.number) }
+
+    private fun notify(
+        nowMs: Long,
+        attempt: ClaimAttempt,
+        message: PeerMessage,
+    ): List<Effect> {
+        val homes = standing?.homesOf(attempt.key.resource(), CLAIM_HOMES).orEmpty()
+        return deliver(nowMs) { it += notices.send(nowMs, attempt.id, message, attempt.askedHomes + homes) }
+    }
+
+    /** Collects the effects of [step]; messages to the own process are handled at once instead of being sent. */
+    private fun deliver(
+        nowMs: Long,
+        step: (MutableList<Effect>) -> Unit,
+    ): List<Effect> {
+        val queue = ArrayList<Effect>()
+        step(queue)
+        val out = ArrayList<Effect>()
+        var i = 0
+        while (i < queue.size) {
+            val effect = queue[i++]
+            if (effect is Effect.Send && effect.to == self.id) queue += handle(nowMs, self, effect.message) else out += effect
+        }
+        return out
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/orders/Orders.kt
@@ -0,0 +1,126 @@
+package io.monsoonpath.coordination.orders
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Resource
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.membership.resourceOf
+import io.monsoonpath.coordination.message.HandoverAnswer
+import io.monsoonpath.coordination.message.HandoverAsk
+import io.monsoonpath.coordination.message.HandoverKind
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.succession.HolderSafeguards
+import io.monsoonpath.coordination.succession.Succession
+import io.monsoonpath.model.BackendId
+
+/**
+ * Decides whether this process may give an order to a backend server, and under which fencing number.
+ *
+ * One process at a time has the right for a server. An order is issued only if the right lasts until the order has been accepted or
+ * given up, [orderMs] later, and a handover waits for the orders under way: so a server that ignores fencing numbers never hears two
+ * processes at once. The class is for one thread.
+ */
+class Orders internal constructor(
+    private val self: PeerId,
+    private val orderMs: Long,
+    membership: MembershipTiming,
+    startedMs: Long,
+    private val safeguards: HolderSafeguards,
+) {
+    /** Creates the decision of the process [self], which started at [startedMs]; an order takes [orderMs] at most. */
+    constructor(self: PeerId, orderMs: Long, membership: MembershipTiming, startedMs: Long) :
+        this(self, orderMs, membership, startedMs, HolderSafeguards())
+
+    private class UnderWay(
+        val key: String,
+        val fence: Fence,
+        val untilMs: Long,
+    )
+
+    private val succession = Succession(HandoverKind.ORDERS, self, 1, orderMs, membership.lapseMs, startedMs, safeguards)
+    private val underWay = HashMap<BackendId, UnderWay>()
+    private var last = Fence(0, 0, 0)
+
+    /** Whether a leaving process has handed over its rights and may stop. */
+    val isHandedOver: Boolean get() = succession.isHandedOver()
+
+    /** Decides on the order [key] to [backend]; the same key is issued under the same number while it is under way. */
+    fun order(
+        nowMs: Long,
+        backend: BackendId,
+        key: String,
+    ): OrderDecision {
+        val standing = succession.current ?: return OrderDecision.NoRight
+        val isOwned = succession.owns(resourceOf(backend), nowMs) && standing.mayAct(nowMs + orderMs)
+        val generation = succession.generation.takeIf { isOwned } ?: return OrderDecision.NoRight
+        val open = underWay[backend]?.takeIf { nowMs < it.untilMs }
+        if (open != null) return if (open.key == key) OrderDecision.Issue(open.fence, open.untilMs) else OrderDecision.Wait(open.fence)
+        val fence = nextFence(standing.revision.value, generation)
+        underWay[backend] = UnderWay(key, fence, nowMs + orderMs)
+        return OrderDecision.Issue(fence, nowMs + orderMs)
+    }
+
+    private fun nextFence(
+        revision: Long,
+        generation: Int,
+    ): Fence {
+        val usedGeneration = if (safeguards.fencingRises) generation else 1
+        val usedRevision = if (safeguards.fencingRises) revision else 0
+        val least = Fence(usedRevision, usedGeneration, 0)
+        val base = if (last > least && last.revision == usedRevision) last else least
+        last = base.copy(counter = base.counter + 1)
+        return last
+    }
+
+    /** Notes that [backend] accepted or refused the order under [fence], or that its connection was closed. */
+    fun finish(
+        backend: BackendId,
+        fence: Fence,
+    ) {
+        if (underWay[backend]?.fence == fence) underWay.remove(backend)
+    }
+
+    /** Raises the next numbers above [seen], which a server named when it refused an order under this list as too old. */
+    fun onRefused(seen: Fence) {
+        if (seen > last && seen.revision == succession.current?.revision?.value) last = seen
+    }
+
+    /** Takes a new snapshot of membership. */
+    fun onStanding(
+        nowMs: Long,
+        next: Standing,
+    ): List<Effect> = succession.onStanding(nowMs, next)
+
+    /** Asks again where answers are missing; call it every 50 ms or so. */
+    fun onTick(nowMs: Long): List<Effect> = succession.onTick(nowMs)
+
+    /** Takes a message from a peer; messages of other concepts are ignored. */
+    fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> =
+        when {
+            message is HandoverAsk && message.kind == HandoverKind.ORDERS -> handOver(nowMs, from, message)
+            message is HandoverAnswer && message.kind == HandoverKind.ORDERS -> {
+                succession.onAnswer(nowMs, from, message)
+                succession.onTick(nowMs)
+            }
+            else -> emptyList()
+        }
+
+    /** Stays silent while an order is under way that the asker's could overtake; the asker asks again. */
+    private fun handOver(
+        nowMs: Long,
+        from: PeerId,
+        ask: HandoverAsk,
+    ): List<Effect> {
+        underWay.values.removeIf { nowMs >= it.untilMs }
+        val home = succession.current ?: return emptyList()
+        if (underWay.keys.any { home.homeOf(resourceOf(it)) == from.id }) return emptyList()
+        return listOfNotNull(succession.answer(nowMs, from, ask)?.let { Effect.Send(from.id, it) })
+    }
+
+    private fun resourceOf(backend: BackendId): Resource = resourceOf(HandoverKind.ORDERS.name, backend.value)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/PermitTable.kt
@@ -0,0 +1,171 @@
+package io.monsoonpath.coordination.permits
+
+import io.monsoonpath.coordination.GrantId
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.message.PermitAsk
+import io.monsoonpath.coordination.message.PermitRecord
+import io.monsoonpath.coordination.message.PermitVerdict
+import io.monsoonpath.coordination.message.RunId
+import io.monsoonpath.coordination.message.RunRecord
+import io.monsoonpath.model.BackendId
+
+/** An ask that waits for a permit. */
+internal class WaitingAsk(
+    val ask: PermitAsk,
+    val from: PeerId,
+    val receivedMs: Long,
+)
+
+/**
+ * The permits of one backend server, as its home counts them.
+ *
+ * Each permit counts until it is given back or lapses, whatever run it was granted for: an old one may still be running.
+ */
+internal class PermitTable(
+    private val backend: BackendId,
+    private val timing: PermitTiming,
+) {
+    private class Permit(
+        val run: RunId,
+        val lapsesMs: Long,
+    )
+
+    private val permits = HashMap<GrantId, Permit>()
+    private val slots = HashMap<GrantId, Long>()
+    private val completions = LinkedHashMap<RunId, Int>()
+    private val waiting = LinkedHashMap<GrantId, WaitingAsk>()
+    private val returned = LinkedHashMap<GrantId, Long>()
+
+    /** The number of permits that are out. */
+    val out: Int get() = permits.size
+
+    /** Whether there is nothing to remember. */
+    val isEmpty: Boolean
+        get() = permits.isEmpty() && slots.isEmpty() && completions.isEmpty() && waiting.isEmpty() && returned.isEmpty()
+
+    /** Decides on [ask]; null if it waits. */
+    fun decide(
+        nowMs: Long,
+        ask: PermitAsk,
+        from: PeerId,
+        limits: PermitLimits,
+    ): PermitVerdict? {
+        val waited = waiting[ask.id]
+        val receivedMs = waited?.receivedMs ?: nowMs
+        return when {
+            ask.id in permits -> PermitVerdict.GRANTED
+            ask.id in returned -> PermitVerdict.BUSY
+            limits.warmsUp && loadOf(ask.run, limits) >= limits.fullLoad -> PermitVerdict.WARM
+            hasRoom(ask.run, limits) && (waiting.isEmpty() || waiting.keys.first() == ask.id) -> {
+                grant(nowMs, ask, receivedMs, limits)
+                PermitVerdict.GRANTED
+            }
+            waited != null -> null
+            ask.waitMs <= 0 || waiting.size >= timing.maxWaiting -> PermitVerdict.BUSY
+            else -> {
+                waiting[ask.id] = WaitingAsk(ask, from, nowMs)
+                null
+            }
+        }
+    }
+
+    private fun loadOf(
+        run: RunId,
+        limits: PermitLimits,
+    ) = limits.loadAfter(completions[run] ?: 0)
+
+    private fun hasRoom(
+        run: RunId,
+        limits: PermitLimits,
+    ) = permits.size < loadOf(run, limits) && slots.size < (limits.startsPerWindow ?: Int.MAX_VALUE)
+
+    private fun grant(
+        nowMs: Long,
+        ask: PermitAsk,
+        receivedMs: Long,
+        limits: PermitLimits,
+    ) {
+        waiting.remove(ask.id)
+        permits[ask.id] = Permit(ask.run, receivedMs + timing.lastsMs(ask.budgetMs))
+        if (limits.startsPerWindow != null) slots[ask.id] = nowMs + timing.slotMs
+    }
+
+    /** Takes the permit [id] back; a completion counts only for the run that the permit was granted for. */
+    fun giveBack(
+        nowMs: Long,
+        id: GrantId,
+        isCompleted: Boolean,
+    ) {
+        waiting.remove(id)
+        returned[id] = nowMs + timing.longestMs
+        val permit = permits.remove(id) ?: return
+        if (!isCompleted) return
+        val count = completions.remove(permit.run) ?: 0
+        completions[permit.run] = count + 1
+        if (completions.size > timing.maxRuns) completions.remove(completions.keys.first())
+    }
+
+    /** Forgets how far [run] had come, because it was seen cold. */
+    fun restart(run: RunId) {
+        completions.remove(run)
+    }
+
+    /** Drops what has lapsed; returns the asks that waited too long. */
+    fun expire(nowMs: Long): List<WaitingAsk> {
+        permits.values.removeIf { it.lapsesMs <= nowMs }
+        slots.values.removeIf { it <= nowMs }
+        while (returned.isNotEmpty() && returned.values.first() <= nowMs) returned.remove(returned.keys.first())
+        val late = waiting.values.filter { nowMs >= it.receivedMs + it.ask.waitMs }
+        late.forEach { waiting.remove(it.ask.id) }
+        return late
+    }
+
+    /** Grants to those that have waited longest, as far as the load allows; returns them with their verdicts. */
+    fun serveWaiting(
+        nowMs: Long,
+        limits: PermitLimits,
+    ): List<Pair<WaitingAsk, PermitVerdict>> {
+        val served = ArrayList<Pair<WaitingAsk, PermitVerdict>>()
+        while (waiting.isNotEmpty()) {
+            val first = waiting.values.first()
+            val verdict = decide(nowMs, first.ask, first.from, limits) ?: break
+            waiting.remove(first.ask.id)
+            served += first to verdict
+        }
+        return served
+    }
+
+    /** Removes and returns all that wait. */
+    fun dismissWaiting(): List<WaitingAsk> = waiting.values.toList().also { waiting.clear() }
+
+    /** Adds a permit that another home granted, unless it was given back already. */
+    fun merge(
+        nowMs: Long,
+        record: PermitRecord,
+    ) {
+        if (record.slotRemainingMs > 0) slots.merge(record.id, nowMs + record.slotRemainingMs, ::maxOf)
+        if (record.id in returned || record.remainingMs <= 0) return
+        permits[record.id] = Permit(record.run, nowMs + record.remainingMs)
+    }
+
+    /** Adds completions that another home counted. */
+    fun merge(record: RunRecord) {
+        completions.merge(record.run, record.completions, ::maxOf)
+    }
+
+    /** Returns the permits and slots that still count. */
+    fun permitRecords(nowMs: Long): List<PermitRecord> =
+        (permits.keys + slots.keys).map { id ->
+            val permit = permits[id]
+            PermitRecord(
+                backend = backend,
+                id = id,
+                run = permit?.run ?: RunId(""),
+                remainingMs = (permit?.lapsesMs ?: nowMs) - nowMs,
+                slotRemainingMs = (slots[id] ?: nowMs) - nowMs,
+            )
+        }
+
+    /** Returns the completions counted. */
+    fun runRecords(): List<RunRecord> = completions.map { (run, count) -> RunRecord(backend, run, count) }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/Permits.kt
@@ -0,0 +1,303 @@
+package io.monsoonpath.coordination.permits
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.GrantId
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.PermitDecided
+import io.monsoonpath.coordination.PermitOutcome
+import io.monsoonpath.coordination.PermitRefusal
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.membership.resourceOf
+import io.monsoonpath.coordination.message.HandoverAnswer
+import io.monsoonpath.coordination.message.HandoverAsk
+import io.monsoonpath.coordination.message.HandoverKind
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.message.PermitAnswer
+import io.monsoonpath.coordination.message.PermitAsk
+import io.monsoonpath.coordination.message.PermitDone
+import io.monsoonpath.coordination.message.PermitVerdict
+import io.monsoonpath.coordination.message.RunId
+import io.monsoonpath.coordination.message.ServerCold
+import io.monsoonpath.coordination.succession.HolderSafeguards
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.InstanceId
+
+/**
+ * Keeps the requests of all instances at a backend server in a cold start within what it bears.
+ *
+ * The request path asks [isWarm] and else [acquire]s a permit for one request on one run, and gets a [PermitDecided] effect with its
+ * token at once or later. It asks [mayUse] at the send, and reports with [finish] only when the request has ended for certain; a permit
+ * whose request may still run lapses by itself. The class is for one thread.
+ */
+class Permits internal constructor(
+    private val self: PeerId,
+    private val kind: HandoverKind,
+    private val timing: PermitTiming,
+    membership: MembershipTiming,
+    startedMs: Long,
+    private val safeguards: HolderSafeguards,
+) {
+    /** Creates the decision of the process [self], which started at [startedMs]; [kind] is for requests or for loads. */
+    constructor(self: PeerId, kind: HandoverKind, timing: PermitTiming, membership: MembershipTiming, startedMs: Long) :
+        this(self, kind, timing, membership, startedMs, HolderSafeguards())
+
+    init {
+        require(kind == HandoverKind.PERMITS || kind == HandoverKind.LOADS) { "kind must be PERMITS or LOADS: $kind" }
+    }
+
+    private val home = PermitHome(self, kind, timing, membership, startedMs, safeguards)
+    private val attempts = HashMap<Long, PermitAttempt>()
+    private val tokens = HashMap<Long, Long>()
+    private val warmRuns = HashMap<BackendId, RunId>()
+    private val coldRuns = HashMap<BackendId, RunId>()
+    private var limits = emptyMap<BackendId, PermitLimits>()
+    private var standing: Standing? = null
+    private var nextNumber = 1L
+
+    /** The number of backend servers whose permits this process remembers as their home. */
+    val homed: Int get() = home.size
+
+    /** Whether a leaving process has handed over all it granted and may stop. */
+    val isHandedOver: Boolean get() = home.isHandedOver
+
+    /** Takes what the backend servers bear, from the configuration in force. */
+    fun onLimits(next: Map<BackendId, PermitLimits>) {
+        limits = next
+        home.onLimits(next)
+        warmRuns.keys.retainAll(next.keys)
+        coldRuns.keys.retainAll(next.keys)
+    }
+
+    /** Returns whether requests to [backend] need no permit on a connection to [run]. */
+    fun isWarm(
+        backend: BackendId,
+        run: RunId,
+    ): Boolean = warmRuns[backend] == run
+
+    /** Takes evidence of a cold start, seen as [run], and tells the peers once. */
+    fun onCold(
+        backend: BackendId,
+        run: RunId,
+    ): List<Effect> {
+        if (coldRuns.put(backend, run) == run) return emptyList()
+        noteCold(backend, run)
+        val peers = standing?.cell?.members.orEmpty()
+        return peers.filter { it.id != self.id }.map { Effect.Send(it.id, ServerCold(backend, run)) }
+    }
+
+    private fun noteCold(
+        backend: BackendId,
+        run: RunId,
+    ) {
+        warmRuns.remove(backend)
+        home.onCold(backend, run)
+    }
+
+    /** Asks for a permit for a request that ends within [budgetMs]; the home may keep the ask waiting for [waitMs]. */
+    fun acquire(
+        nowMs: Long,
+        token: Long,
+        backend: BackendId,
+        run: RunId,
+        budgetMs: Long,
+        waitMs: Long,
+    ): List<Effect> {
+        require(token !in attempts) { "token is in use: $token" }
+        val within = if (limits[backend]?.startsPerWindow != null) timing.startWithinMs else Long.MAX_VALUE
+        val boundedMs = minOf(budgetMs, timing.maxBudgetMs)
+        val useMs = minOf(boundedMs, within)
+        val attempt =
+            PermitAttempt(
+                GrantId(self.id, self.incarnation, nextNumber++),
+                backend,
+                run,
+                nowMs,
+                boundedMs,
+                minOf(waitMs, useMs),
+                nowMs + useMs,
+            )
+        attempts[token] = attempt
+        tokens[attempt.id.number] = token
+        return deliver(nowMs) { it += ask(nowMs, attempt) }
+    }
+
+    /** Returns whether the request of the granted permit [token] may be sent now on a connection to [run]. */
+    fun mayUse(
+        nowMs: Long,
+        token: Long,
+        run: RunId,
+    ): Boolean {
+        val attempt = attempts[token] ?: return false
+        return attempt.isGranted && attempt.run == run && nowMs < attempt.useUntilMs && standing?.mayAct(nowMs) == true
+    }
+
+    /** Gives the permit of [token] back: the request has ended for certain, or was not sent; [isCompleted] if it was answered whole. */
+    fun finish(
+        nowMs: Long,
+        token: Long,
+        isCompleted: Boolean,
+    ): List<Effect> {
+        val attempt = forget(token) ?: return emptyList()
+        return deliver(nowMs) { it += giveBack(attempt, isCompleted) }
+    }
+
+    /** Forgets [token] without giving its permit back, because the request may still be running; the permit lapses at its home. */
+    fun abandon(
+        nowMs: Long,
+        token: Long,
+    ): List<Effect> {
+        if (!safeguards.permitOutlivesTimeout) return finish(nowMs, token, isCompleted = false)
+        forget(token)
+        return emptyList()
+    }
+
+    /** Takes a new snapshot of membership. */
+    fun onStanding(
+        nowMs: Long,
+        next: Standing,
+    ): List<Effect> {
+        val isNewList = standing?.revision != next.revision
+        standing = next
+        return deliver(nowMs) { out ->
+            out += home.onStanding(nowMs, next)
+            if (!isNewList) return@deliver
+            attempts.values.filter { !it.isGranted }.forEach {
+                it.redirect = null
+                it.nextAskMs = nowMs
+                out += ask(nowMs, it)
+            }
+        }
+    }
+
+    /** Takes a message from a peer; messages of other concepts are ignored. */
+    fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> = deliver(nowMs) { it += handle(nowMs, from, message) }
+
+    /** Asks again where answers are missing; call it every 50 ms or so. */
+    fun onTick(nowMs: Long): List<Effect> =
+        deliver(nowMs) { out ->
+            out += home.onTick(nowMs)
+            for ((token, attempt) in attempts.entries.toList()) {
+                if (attempt.isGranted) continue
+                out += if (nowMs >= attempt.giveUpMs(timing)) refuse(nowMs, token, attempt) else ask(nowMs, attempt)
+            }
+        }
+
+    private fun handle(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> =
+        when (message) {
+            is PermitAsk -> if (message.kind == kind) home.onAsk(nowMs, from, message) else emptyList()
+            is PermitAnswer -> if (message.kind == kind) onAnswer(nowMs, from, message) else emptyList()
+            is PermitDone -> if (message.kind == kind) home.onDone(nowMs, from, message) else emptyList()
+            is ServerCold -> emptyList<Effect>().also { noteCold(message.backend, message.run) }
+            is HandoverAsk -> if (message.kind == kind) home.onHandoverAsk(nowMs, from, message) else emptyList()
+            is HandoverAnswer -> if (message.kind == kind) home.onHandoverAnswer(nowMs, from, message) else emptyList()
+            else -> emptyList()
+        }
+
+    private fun ask(
+        nowMs: Long,
+        attempt: PermitAttempt,
+    ): List<Effect> {
+        if (nowMs < attempt.nextAskMs) return emptyList()
+        val to = attempt.redirect ?: standing?.homeOf(resourceOf(kind.name, attempt.backend.value)) ?: return emptyList()
+        attempt.nextAskMs = nowMs + timing.retryMs
+        attempt.asked += to
+        return listOf(Effect.Send(to, PermitAsk(kind, attempt.backend, attempt.id, attempt.run, attempt.budgetMs, attempt.waitMs)))
+    }
+
+    private fun onAnswer(
+        nowMs: Long,
+        from: PeerId,
+        answer: PermitAnswer,
+    ): List<Effect> {
+        if (answer.id.incarnation != self.incarnation) return emptyList()
+        val token = tokens[answer.id.number] ?: return emptyList()
+        val attempt = attempts[token] ?: return emptyList()
+        if (attempt.isGranted) return emptyList()
+        return when (answer.verdict) {
+            PermitVerdict.GRANTED -> onGranted(nowMs, token, attempt)
+            PermitVerdict.WARM -> onWarm(nowMs, token, attempt)
+            PermitVerdict.BUSY -> refuse(nowMs, token, attempt.also { it.refusal = answer })
+            PermitVerdict.NOT_HOME -> onNotHome(nowMs, from, attempt, answer)
+        }
+    }
+
+    private fun onGranted(
+        nowMs: Long,
+        token: Long,
+        attempt: PermitAttempt,
+    ): List<Effect> {
+        if (nowMs >= attempt.useUntilMs) return refuse(nowMs, token, attempt)
+        attempt.isGranted = true
+        return listOf(PermitDecided(token, PermitOutcome.Granted(attempt.useUntilMs)))
+    }
+
+    private fun onWarm(
+        nowMs: Long,
+        token: Long,
+        attempt: PermitAttempt,
+    ): List<Effect> {
+        warmRuns[attempt.backend] = attempt.run
+        return finish(nowMs, token, isCompleted = false) + PermitDecided(token, PermitOutcome.Warm)
+    }
+
+    private fun onNotHome(
+        nowMs: Long,
+        from: PeerId,
+        attempt: PermitAttempt,
+        answer: PermitAnswer,
+    ): List<Effect> {
+        val other = answer.home?.let(::InstanceId)
+        val isNew = other != null && other != from.id && other !in attempt.asked
+        attempt.redirect = other.takeIf { isNew }
+        if (isNew) attempt.nextAskMs = nowMs
+        return ask(nowMs, attempt)
+    }
+
+    private fun refuse(
+        nowMs: Long,
+        token: Long,
+        attempt: PermitAttempt,
+    ): List<Effect> {
+        val reason =
+            when {
+                attempt.refusal?.verdict == PermitVerdict.BUSY -> PermitRefusal.BUSY
+                standing?.mayAct(nowMs) != true -> PermitRefusal.NO_RIGHT
+                else -> PermitRefusal.UNREACHABLE
+            }
+        val retryAfterMs = attempt.refusal?.retryAfterMs ?: timing.retryMs
+        forget(token)
+        return giveBack(attempt, isCompleted = false) + PermitDecided(token, PermitOutcome.Refused(reason, retryAfterMs))
+    }
+
+    private fun giveBack(
+        attempt: PermitAttempt,
+        isCompleted: Boolean,
+    ): List<Effect> = attempt.asked.map { Effect.Send(it, PermitDone(kind, attempt.backend, attempt.id, isCompleted)) }
+
+    private fun forget(token: Long): PermitAttempt? = attempts.remove(token)?.also { tokens.remove(it.id.number) }
+
+    /** Collects the effects of [step]; messages to the own process are handled at once instead of being sent. */
+    private fun deliver(
+        nowMs: Long,
+        step: (MutableList<Effect>) -> Unit,
+    ): List<Effect> {
+        val queue = ArrayList<Effect>()
+        step(queue)
+        val out = ArrayList<Effect>()
+        var i = 0
+        while (i < queue.size) {
+            val effect = queue[i++]
+            if (effect is Effect.Send && effect.to == self.id) queue += handle(nowMs, self, effect.message) else out += effect
+        }
+        return out
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/HolderSafeguards.kt
@@ -0,0 +1,10 @@
+package io.monsoonpath.coordination.succession
+
+/** The checks that safety rests on; tests switch single ones off to prove that the loss is noticed. */
+internal data class HolderSafeguards(
+    val claimQuorum: Boolean = true,
+    val restartAbstains: Boolean = true,
+    val takeoverWait: Boolean = true,
+    val fencingRises: Boolean = true,
+    val permitOutlivesTimeout: Boolean = true,
+)
