--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/ClaimEffects.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/ClaimOutcome.kt
@@ -2,12 +2,6 @@
 
 import io.monsoonpath.coordination.message.ClaimPhase
 
-/** The answer to a claim that the request path asked for under [token]. */
-data class ClaimDecided(
-    val token: Long,
-    val outcome: ClaimOutcome,
-) : Effect
-
 /** How a claim ended. */
 sealed interface ClaimOutcome {
     /** The request may be sent, once, until [useUntilMs] on the own clock; ask the decision again at the send. */
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
@@ -12,6 +12,18 @@
         val message: PeerMessage,
     ) : Effect
 
+    /** Hand the outcome of the claim [token] to whoever asked for it. */
+    data class ClaimDecided(
+        val token: Long,
+        val outcome: ClaimOutcome,
+    ) : Effect
+
+    /** Hand the outcome of the ask [token] for a permit to whoever asked for it. */
+    data class PermitDecided(
+        val token: Long,
+        val outcome: PermitOutcome,
+    ) : Effect
+
     /** Record [event] on the time line. */
     data class Emit(
         val event: Event,
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/PermitEffects.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/PermitOutcome.kt
@@ -1,11 +1,5 @@
 package io.monsoonpath.coordination
 
-/** The answer to a permit that the request path asked for under [token]. */
-data class PermitDecided(
-    val token: Long,
-    val outcome: PermitOutcome,
-) : Effect
-
 /** How an ask for a permit ended. */
 sealed interface PermitOutcome {
     /** One request may be sent on the run that was asked for, until [useUntilMs] on the own clock; ask the decision again at the send. */
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/Claims.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/Claims.kt
@@ -1,6 +1,5 @@
 package io.monsoonpath.coordination.claims
 
-import io.monsoonpath.coordination.ClaimDecided
 import io.monsoonpath.coordination.ClaimOutcome
 import io.monsoonpath.coordination.ClaimRefusal
 import io.monsoonpath.coordination.Effect
@@ -23,8 +22,8 @@
 /**
  * Runs each request id of a workspace at most once within its time-to-live, over all instances.
  *
- * The request path asks with [claim], and gets a [ClaimDecided] effect with its token at once or later. It asks [mayUse] at the send,
- * then reports with [finish], or with [release] if nothing was sent. The class is for one thread.
+ * The request path asks with [claim], and gets an [Effect.ClaimDecided] with its token at once or later. It asks [mayUse] at the
+ * send, then reports with [finish], or with [release] if nothing was sent. The class is for one thread.
  */
 class Claims internal constructor(
     private val self: PeerId,
@@ -176,7 +175,7 @@
         return when {
             attempt.hasQuorum() && standing.mayAct(nowMs) && nowMs < attempt.giveUpMs -> {
                 attempt.isGranted = true
-                listOf(ClaimDecided(token, ClaimOutcome.Granted(attempt.askedMs + timing.useMs)))
+                listOf(Effect.ClaimDecided(token, ClaimOutcome.Granted(attempt.askedMs + timing.useMs)))
             }
             attempt.isHopeless(standing.homesOf(attempt.key.resource(), CLAIM_HOMES)) -> giveUp(nowMs, token, attempt)
             else -> emptyList()
@@ -196,7 +195,7 @@
                 standing?.mayAct(nowMs) != true -> ClaimOutcome.Refused(ClaimRefusal.NO_RIGHT)
                 else -> ClaimOutcome.Refused(ClaimRefusal.UNREACHABLE)
             }
-        return release(nowMs, token) + ClaimDecided(token, outcome)
+        return release(nowMs, token) + Effect.ClaimDecided(token, outcome)
     }
 
     private fun forget(token: Long): ClaimAttempt? = attempts.remove(token)?.also { tokens.remove(it.id.number) }
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/PermitHome.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/PermitHome.kt
@@ -44,7 +44,7 @@
     fun onStanding(
         nowMs: Long,
         next: Standing,
-    ): List<Effect> = succession.onStanding(nowMs, next) + serveAll(nowMs)
+    ): List<Effect> = succession.onStanding(nowMs, next)
 
     fun onTick(nowMs: Long): List<Effect> = succession.onTick(nowMs) + serveAll(nowMs)
 
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/Permits.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/Permits.kt
@@ -3,7 +3,6 @@
 import io.monsoonpath.coordination.Effect
 import io.monsoonpath.coordination.GrantId
 import io.monsoonpath.coordination.PeerId
-import io.monsoonpath.coordination.PermitDecided
 import io.monsoonpath.coordination.PermitOutcome
 import io.monsoonpath.coordination.PermitRefusal
 import io.monsoonpath.coordination.membership.MembershipTiming
@@ -26,8 +25,8 @@
 /**
  * Keeps the requests of all instances at a backend server in a cold start within what it bears.
  *
- * The request path asks [isWarm] and else [acquire]s a permit for one request on one run, and gets a [PermitDecided] effect with its
- * token at once or later. It asks [mayUse] at the send, and reports with [finish] only when the request has ended for certain; a permit
+ * The request path asks [isWarm] and else [acquire]s a permit for one request on one run, and gets an [Effect.PermitDecided] with
+ * its token at once or later. It asks [mayUse] at the send, and reports with [finish] only when the request has ended for certain; a permit
  * whose request may still run lapses by itself. The class is for one thread.
  */
 class Permits internal constructor(
@@ -237,7 +236,7 @@
     ): List<Effect> {
         if (nowMs >= attempt.useUntilMs) return refuse(nowMs, token, attempt)
         attempt.isGranted = true
-        return listOf(PermitDecided(token, PermitOutcome.Granted(attempt.useUntilMs)))
+        return listOf(Effect.PermitDecided(token, PermitOutcome.Granted(attempt.useUntilMs)))
     }
 
     private fun onWarm(
@@ -246,7 +245,7 @@
         attempt: PermitAttempt,
     ): List<Effect> {
         warmRuns[attempt.backend] = attempt.run
-        return finish(nowMs, token, isCompleted = false) + PermitDecided(token, PermitOutcome.Warm)
+        return finish(nowMs, token, isCompleted = false) + Effect.PermitDecided(token, PermitOutcome.Warm)
     }
 
     private fun onNotHome(
@@ -275,7 +274,7 @@
             }
         val retryAfterMs = attempt.refusal?.retryAfterMs ?: timing.retryMs
         forget(token)
-        return giveBack(attempt, isCompleted = false) + PermitDecided(token, PermitOutcome.Refused(reason, retryAfterMs))
+        return giveBack(attempt, isCompleted = false) + Effect.PermitDecided(token, PermitOutcome.Refused(reason, retryAfterMs))
     }
 
     private fun giveBack(
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
@@ -70,10 +70,21 @@
         standing = next
         if (next.rightEpoch > rightEpoch) noteLapse(nowMs, before, next)
         if (before == null || before.revision != next.revision) moveTo(before?.cell)
+        if (before != null && isSamePlace(nowMs, before, next)) return emptyList()
         next.unsettled.filter { it.revision.value > wholeRevision && it.revision < next.revision }.forEach(older::add)
         return onTick(nowMs)
     }
 
+    private fun isSamePlace(
+        nowMs: Long,
+        before: Standing,
+        next: Standing,
+    ): Boolean {
+        val isSameList = before.revision == next.revision && before.settled == next.settled && before.unsettled == next.unsettled
+        val isSameRight = before.rightEpoch == next.rightEpoch && before.mayAcquire(nowMs) == next.mayAcquire(nowMs)
+        return isSameList && isSameRight && before.settledSinceMs == next.settledSinceMs
+    }
+
     private fun noteLapse(
         nowMs: Long,
         before: Standing?,
