--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -100,6 +100,8 @@
             when (effect) {
                 is Effect.Send -> transport.send(effect.to, effect.message)
                 is Effect.Emit -> events.emit(effect.event)
+                // Membership decides no claims and permits.
+                is Effect.ClaimDecided, is Effect.PermitDecided -> Unit
             }
         }
 
