--- a/app/src/main/kotlin/io/monsoonpath/app/Main.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/Main.kt
@@ -1,14 +1,25 @@
 package io.monsoonpath.app
 
+import io.monsoonpath.app.command.CheckCommand
+import io.monsoonpath.app.command.ConfigCommand
 import io.monsoonpath.app.command.DemoCommand
+import io.monsoonpath.app.command.ExplainCommand
+import io.monsoonpath.app.command.InitCommand
 import io.monsoonpath.app.command.ServeCommand
+import io.monsoonpath.app.command.TimelineCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
 /** Runs the command that [args] names. */
 @OptIn(ExperimentalCli::class)
 fun main(args: Array<String>) {
-    val parser = ArgParser("monsoonpath")
-    parser.subcommands(ServeCommand(), DemoCommand())
-    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+    val parser = ArgParser("monsoonpath", strictSubcommandOptionsOrder = true)
+    parser.subcommands(ServeCommand(), InitCommand(), CheckCommand(), ConfigCommand(), TimelineCommand(), ExplainCommand(), DemoCommand())
+    parser.parse(args.orHelp())
+}
+
+/** Asks for help where the arguments stop short of a command. */
+private fun Array<String>.orHelp(): Array<String> {
+    val isIncomplete = isEmpty() || (first() == "config" && (size == 1 || (size == 2 && last() != "diff")))
+    return if (isIncomplete) this + "--help" else this
 }
