--- a/app/src/main/kotlin/io/monsoonpath/app/load/LoadRunner.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/load/LoadRunner.kt
@@ -96,7 +96,7 @@
     val text = answer.contentUtf8()
     return when {
         answer.status() != HttpStatus.OK -> refusalOf(text, answer.status())
-        flow.stream && answer.contentType()?.isCompatible(MediaType.EVENT_STREAM) == true -> streamOutcomeOf(text)
+        flow.stream && answer.contentType()?.`is`(MediaType.EVENT_STREAM) == true -> streamOutcomeOf(text)
         else -> LoadOutcome.Answered
     }
 }
@@ -116,4 +116,4 @@
         LoadOutcome.Failed("status ${status.code()} without a refusal")
     }
 
-private val LAST_EVENT = Regex("event: ?(end|error)\r?\ndata: ?(.*)\s*$")
+private val LAST_EVENT = Regex("""event: ?(end|error)\r?\ndata: ?(.*)\s*$""")
