Limit workspaces over all instances by units, and check it under faults

A workspace's limit is cut into 16 token buckets, each with one home. Requests spend local units without locks and gather the rest at peers; units move with their level on a list change and start empty otherwise. A seeded network with virtual time runs the decisions under random fault schedules; an observer that knows all checks after each step that no unit has two users and no lapsed right keeps units, and at the end that every window keeps within burst + rate * window, in exact integers.

The search found four faults, all mended: units that moved were used under the right of the new list (Standing.mayKeep now ends them); an instance took a peer's settled revision without knowing any list still open; the same with a list older than the settled one; and a refund added to the refill that its own absence had made possible (a bucket now counts what may still come back against its capacity).

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
@@ -1,6 +1,8 @@
 package io.monsoonpath.coordination
 
 import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.units.LimitDecision
+import io.monsoonpath.coordination.units.LimitQuery
 import io.monsoonpath.model.Event
 import io.monsoonpath.model.InstanceId
 
@@ -12,6 +14,12 @@
         val message: PeerMessage,
     ) : Effect
 
+    /** Hand [decision] to whoever waits for [query]. */
+    data class LimitDecided(
+        val query: LimitQuery,
+        val decision: LimitDecision,
+    ) : Effect
+
     /** Record [event] on the time line. */
     data class Emit(
         val event: Event,
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/KnownLists.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/KnownLists.kt
@@ -1,6 +1,5 @@
 package io.monsoonpath.coordination.membership
 
-import io.monsoonpath.coordination.message.ListAnswer
 import io.monsoonpath.model.InstanceList
 import io.monsoonpath.model.ListRevision
 import io.monsoonpath.model.Region
@@ -19,6 +18,7 @@
 
     private val lists = TreeMap<Long, Known>()
     private var unsettled = emptyList<CellList>()
+    private var claimed = ListRevision.NONE
 
     /** The revision below which every right has ended. */
     var settled = ListRevision.NONE
@@ -44,6 +44,7 @@
         if (lists.isNotEmpty() && revision < lists.lastKey()) known.supersededMs = nowMs
         if (lists.isNotEmpty() && revision > lists.lastKey()) lists.lastEntry().value.supersededMs = nowMs
         lists[revision] = known
+        if (claimed.value == revision) settle(claimed)
         prune()
         return true
     }
@@ -74,15 +75,27 @@
         open?.let { settle(ListRevision(it.key)) }
     }
 
-    /** Notes that every right under a revision below [revision] has ended. */
-    fun settle(revision: ListRevision) {
+    /**
+     * Takes a peer's word that every right under a revision below [revision] has ended; returns whether that was news.
+     *
+     * It counts only once the list with [revision] is known: an instance that knows no list of those still open would miss that others
+     * have rights under them.
+     */
+    fun settleAsClaimed(revision: ListRevision): Boolean {
+        claimed = maxOf(claimed, revision)
+        val before = settled
+        if (claimed.value in lists) settle(claimed)
+        return settled > before
+    }
+
+    private fun settle(revision: ListRevision) {
         if (revision <= settled) return
         settled = revision
         prune()
     }
 
-    /** Returns the revisions that [answer] names and that are neither known nor settled. */
-    fun missing(answer: ListAnswer): List<Long> = (answer.unsettled + answer.newest).filter { isMissing(it) }
+    /** Returns those of [revisions] that are neither known nor settled. */
+    fun missing(revisions: List<Long>): List<Long> = revisions.filter { isMissing(it) }.distinct()
 
     /** Returns whether all lists that the answer in [view] rests on are known here. */
     fun knowsAll(view: PeerView): Boolean = !isMissing(view.newest) && view.unsettled.none { isMissing(it) }
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Membership.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Membership.kt
@@ -55,7 +55,7 @@
         val effects = ArrayList<Effect>()
         if (known.newestRevision > before) {
             settledSinceMs = null
-            right.forgetAcquire()
+            right.endAcquire()
             effects += Effect.Emit(Event.ListAdopted(list.revision, source))
         }
         evaluate(nowMs, effects)
@@ -96,7 +96,8 @@
         ask: AskList,
         effects: MutableList<Effect>,
     ) {
-        if (ask.newest > known.newestRevision.value) effects += Effect.Send(from.id, RequestLists(listOf(ask.newest)))
+        val missing = known.missing(listOf(ask.newest, ask.settled))
+        if (missing.isNotEmpty()) effects += Effect.Send(from.id, RequestLists(missing))
         effects +=
             Effect.Send(
                 from.id,
@@ -120,7 +121,7 @@
     ) {
         if (answer.to != self.incarnation.value) return
         if (!peers.note(from, answer)) return
-        val missing = known.missing(answer)
+        val missing = known.missing(answer.unsettled + answer.newest + answer.settled)
         if (missing.isNotEmpty()) effects += Effect.Send(from.id, RequestLists(missing))
         adoptSettled(nowMs, answer.settled, effects)
         evaluate(nowMs, effects)
@@ -131,9 +132,7 @@
         settled: Long,
         effects: MutableList<Effect>,
     ) {
-        if (settled <= known.settled.value) return
-        known.settle(ListRevision(settled))
-        evaluate(nowMs, effects)
+        if (known.settleAsClaimed(ListRevision(settled))) evaluate(nowMs, effects)
     }
 
     private fun onRequest(
@@ -292,6 +291,7 @@
             settled = known.settled,
             rightUntilMs = right.untilMs,
             acquireUntilMs = right.acquireUntilMs,
+            formerUntilMs = right.formerUntilMs,
             rightEpoch = right.epoch,
             settledSinceMs = settledSinceMs,
             recovering = recovering,
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/MembershipTiming.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/MembershipTiming.kt
@@ -4,12 +4,12 @@
  * Durations of membership, on the own clock of each process.
  *
  * @property rightMs how long a right lasts after the question that it was vouched on
- * @property marginMs what a waiting process adds for clocks that run at different speeds
+ * @property marginMs what a waiting process adds for clocks that run at different speeds and for answers on their way
  * @property takeoverMs how long to wait for members that neither answer nor stand in the list any more
  */
 data class MembershipTiming(
     val rightMs: Long = 3_000,
-    val marginMs: Long = rightMs / 20 + 50,
+    val marginMs: Long = rightMs / 20 + 200,
     val takeoverMs: Long = 60_000,
 ) {
     /** How long a right at another process may last after its end became inevitable. */
@@ -26,8 +26,9 @@
 internal data class Safeguards(
     val takeoverWait: Boolean = true,
     val recoverySilence: Boolean = true,
-    val ownClockOnly: Boolean = true,
-    val peersVouch: Boolean = true,
     val lapseDropsHoldings: Boolean = true,
     val anchorLists: Boolean = true,
+    val refundsClipped: Boolean = true,
+    val handoverCloses: Boolean = true,
+    val spendRechecked: Boolean = true,
 )
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Right.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Right.kt
@@ -3,11 +3,15 @@
 /** The right to act of one process, and the epochs that its lapses divide. */
 internal class Right {
     /** When the right ends. */
-    var untilMs = Long.MIN_VALUE
+    var untilMs = NEVER_MS
         private set
 
     /** When the right under the newest list ends, or the smallest value while there is none. */
-    var acquireUntilMs = Long.MIN_VALUE
+    var acquireUntilMs = NEVER_MS
+        private set
+
+    /** When the right under the list before the newest ends: until then, what moved away with the newest list may be used. */
+    var formerUntilMs = NEVER_MS
         private set
 
     /** Rises with each lapse. */
@@ -25,9 +29,10 @@
         if (isCounted) epoch++
     }
 
-    /** Forgets the right to acquire, because a newer list came; the right to use goes on. */
-    fun forgetAcquire() {
-        acquireUntilMs = Long.MIN_VALUE
+    /** Ends the right to acquire, because a newer list came; the right to use goes on. */
+    fun endAcquire() {
+        formerUntilMs = untilMs
+        acquireUntilMs = NEVER_MS
     }
 
     /** Extends the right under the newest list to [newUntilMs]; returns whether it began. */
@@ -41,3 +46,6 @@
         return !isHeld.also { isHeld = true }
     }
 }
+
+/** A time before all others, from which differences do not overflow. */
+private const val NEVER_MS = Long.MIN_VALUE / 2
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Standing.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/membership/Standing.kt
@@ -17,6 +17,7 @@
  * @property settled the revision below which every right has ended
  * @property rightUntilMs when the right to act ends unless it is renewed
  * @property acquireUntilMs when the right under the list in force ends; only this one allows taking new resources
+ * @property formerUntilMs when the right under the list before this one ends; not renewed
  * @property rightEpoch a number that rises when a right lapsed; everything held under a lower one is lost
  * @property settledSinceMs since when all lists older than the one in force are settled, or null while some is not
  * @property recovering whether this process started too recently to take part
@@ -29,6 +30,7 @@
     val settled: ListRevision,
     val rightUntilMs: Long,
     val acquireUntilMs: Long,
+    val formerUntilMs: Long,
     val rightEpoch: Long,
     val settledSinceMs: Long?,
     val recovering: Boolean,
@@ -36,9 +38,16 @@
     /** The revision of the list in force. */
     val revision: ListRevision get() = cell.revision
 
-    /** Returns whether this process may use what it holds; ask again at each use. */
+    /**
+     * Returns whether this process may use what it holds; ask again at each use.
+     *
+     * A resource of which another instance is the home in the list in force may be used only as long as [mayKeep] says, too.
+     */
     fun mayAct(nowMs: Long): Boolean = nowMs < rightUntilMs
 
+    /** Returns whether a resource held since the list before this one, whose home is now another, may still be used until handed over. */
+    fun mayKeep(nowMs: Long): Boolean = nowMs < formerUntilMs && mayAct(nowMs)
+
     /** Returns whether this process may start to hold resources of which it is the home. */
     fun mayAcquire(nowMs: Long): Boolean = nowMs < acquireUntilMs
 
--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/Limits.kt
@@ -0,0 +1,170 @@
+package io.monsoonpath.coordination.units
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.Safeguards
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.Debit
+import io.monsoonpath.coordination.message.DebitReply
+import io.monsoonpath.coordination.message.Handover
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.message.Refund
+import io.monsoonpath.coordination.message.RequestHandover
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.Region
+import io.monsoonpath.model.WorkspaceId
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * The limits of all workspaces over all instances, as one instance takes part in them.
+ *
+ * Requests call [acquire] from any thread. All other functions belong to one thread, the loop that also runs the membership: it tells
+ * each new [Standing], each message and a tick, and carries out the effects. After [LimitDecision.NeedPeers] the caller passes the query
+ * to the loop ([onQuery]) and waits for [Effect.LimitDecided], at most [peerTimeoutMs] after the query began; the loop is to tick about
+ * every 10 ms while queries wait. The clock is read after a message has been received, never before.
+ */
+class Limits internal constructor(
+    private val self: PeerId,
+    private val region: Region,
+    private val peerTimeoutMs: Long,
+    private val safeguards: Safeguards,
+) {
+    /**
+     * Creates the limits of the process [self] in [region].
+     *
+     * @param peerTimeoutMs the longest time from a request's arrival to the use of a token; the membership's margin has to exceed it
+     */
+    constructor(self: PeerId, region: Region, peerTimeoutMs: Long) : this(self, region, peerTimeoutMs, Safeguards())
+
+    /** The snapshot that the held units conform to; it follows the membership only after units were dropped accordingly. */
+    @Volatile
+    private var standing: Standing? = null
+
+    private val workspaces = ConcurrentHashMap<WorkspaceId, WorkspaceLimit>()
+    private val spender = LocalSpender({ standing }, peerTimeoutMs, safeguards)
+    private val holder = UnitHolder(self, region, peerTimeoutMs, workspaces.values, safeguards)
+    private val ledger = DebitLedger(safeguards)
+    private val queries = LimitQueries(self, peerTimeoutMs, spender, holder)
+    private var revision = ConfigRevision.NONE
+
+    /** Spends one token of [workspace] from the units held here, or says what is needed; may be called from any thread. */
+    fun acquire(
+        clock: ClockMs,
+        workspace: WorkspaceId,
+    ): LimitDecision {
+        val limit = workspaces[workspace] ?: return LimitDecision.Unreachable(null)
+        val startedMs = clock.nowMs()
+        val charge = spender.take(clock, startedMs, limit)
+        if (charge.amount == TOKEN) return LimitDecision.Admitted(charge)
+        val remainingMs = limit.emptyUntilMs.let { if (it == Long.MIN_VALUE) 0 else it - startedMs }
+        if (remainingMs > 0) {
+            spender.giveBack(startedMs, charge)
+            return LimitDecision.RateLimited(remainingMs)
+        }
+        return LimitDecision.NeedPeers(LimitQuery(workspace, startedMs, charge))
+    }
+
+    /** Takes a newer configuration; one that is not newer is ignored. */
+    fun onConfiguration(
+        nowMs: Long,
+        configuration: Configuration,
+    ) {
+        if (configuration.revision <= revision) return
+        revision = configuration.revision
+        val homeRegion = configuration.domains.first().region
+        val named = configuration.workspaces.mapTo(HashSet()) { it.id }
+        workspaces.values.filter { it.id !in named }.forEach { holder.drop(nowMs, it) }
+        workspaces.keys.retainAll(named)
+        for (spec in configuration.workspaces) {
+            val limit = workspaces.getOrPut(spec.id) { WorkspaceLimit(spec.id) }
+            limit.limits = spec.unitLimits(homeRegion)
+            limit.emptyUntilMs = Long.MIN_VALUE
+            limit.holders = null
+            limit.held.buckets.forEach { it?.changeLimit(nowMs, limit.limits[region] ?: NO_LIMIT) }
+        }
+        holder.onWorkspacesChanged(nowMs)
+    }
+
+    /** Takes a new snapshot of the membership. */
+    fun onStanding(
+        nowMs: Long,
+        standing: Standing,
+    ): List<Effect> {
+        val effects = holder.onStanding(nowMs, standing)
+        this.standing = standing
+        return effects
+    }
+
+    /** Takes a message from a peer; messages of other concepts are ignored. */
+    fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ): List<Effect> =
+        when (message) {
+            is Debit -> onDebit(nowMs, from, message)
+            is DebitReply -> queries.onReply(nowMs, from, message)
+            is Refund -> emptyList<Effect>().also { ledger.refund(nowMs, from, message) }
+            is RequestHandover -> holder.onRequest(nowMs, from, message)
+            is Handover -> emptyList<Effect>().also { holder.onHandover(nowMs, from, message) }
+            else -> emptyList()
+        }
+
+    /** Starts to gather tokens for [query] at the peers. */
+    fun onQuery(
+        nowMs: Long,
+        query: LimitQuery,
+    ): List<Effect> = queries.start(nowMs, query, workspaces[query.workspace])
+
+    /** Repeats what was not answered and ends queries whose time is up. */
+    fun onTick(nowMs: Long): List<Effect> = holder.onTick(nowMs) + queries.onTick(nowMs)
+
+    /** Gives back what was spent on a request that was refused later and did not run. */
+    fun onRefund(
+        nowMs: Long,
+        charge: Charge,
+    ): List<Effect> {
+        spender.giveBack(nowMs, charge)
+        return charge.remote.map { Effect.Send(it.peer, Refund(it.debit, it.amount)) }
+    }
+
+    /** Returns the units of [workspace] that may be spent from here at [nowMs], a bit for each; for observers. */
+    internal fun usableUnits(
+        nowMs: Long,
+        workspace: WorkspaceId,
+    ): Int {
+        val held = workspaces[workspace]?.held?.takeIf { spender.mayUse(it, nowMs) } ?: return 0
+        return held.buckets.foldIndexed(0) { i, bits, bucket -> if (bucket == null || nowMs >= bucket.untilMs) bits else bits or (1 shl i) }
+    }
+
+    /** Returns when the oldest usable unit of [workspace] was acquired, or null without one; for observers. */
+    internal fun oldestUsableMs(
+        nowMs: Long,
+        workspace: WorkspaceId,
+    ): Long? {
+        val held = workspaces[workspace]?.held?.takeIf { spender.mayUse(it, nowMs) } ?: return null
+        return held.buckets.minOfOrNull { it?.createdMs ?: Long.MAX_VALUE }
+    }
+
+    private fun onDebit(
+        nowMs: Long,
+        from: PeerId,
+        debit: Debit,
+    ): List<Effect> {
+        val limit = workspaces[WorkspaceId(debit.workspace)]
+        if (limit == null) return listOf(Effect.Send(from.id, DebitReply(debit.query, 0, 0, 0, unsure = true)))
+        if (ledger.isKnown(from, debit.query)) return emptyList()
+        val held = limit.held.takeIf { spender.mayUse(it, nowMs) }
+        val isContended = ledger.servedOther(limit.id, from, nowMs)
+        val granted = if (held == null) 0 else ledger.grant(nowMs, from, debit, held)
+        val left = held?.buckets?.sumOf { it?.level(nowMs) ?: 0 } ?: 0
+        val unsure = isContended || holder.isMoving(limit)
+        return listOf(Effect.Send(from.id, DebitReply(debit.query, granted, left, held?.count ?: 0, unsure)))
+    }
+
+    private companion object {
+        val NO_LIMIT = UnitLimit(0, 0)
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/membership/MembershipSafetyTest.kt
@@ -0,0 +1,130 @@
+package io.monsoonpath.coordination.membership
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.sim.Component
+import io.monsoonpath.coordination.sim.Failing
+import io.monsoonpath.coordination.sim.Fault
+import io.monsoonpath.coordination.sim.Observer
+import io.monsoonpath.coordination.sim.Process
+import io.monsoonpath.coordination.sim.ProcessContext
+import io.monsoonpath.coordination.sim.SEEDS
+import io.monsoonpath.coordination.sim.SimNetwork
+import io.monsoonpath.coordination.sim.SimNode
+import io.monsoonpath.coordination.sim.firstFailure
+import io.monsoonpath.coordination.sim.randomFaults
+import io.monsoonpath.coordination.sim.simMembers
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** Resources that move only by takeover: the right to act alone has to keep two instances from using one of them. */
+class MembershipSafetyTest {
+    private class TakeoverOnly : Component {
+        val held = HashSet<Int>()
+        private var epoch = 0L
+
+        override fun onStanding(
+            nowMs: Long,
+            standing: Standing,
+        ): List<Effect> {
+            if (standing.rightEpoch != epoch) held.clear()
+            epoch = standing.rightEpoch
+            held.removeIf { !standing.isHome(RESOURCES[it]) || standing.formerHomesOf(RESOURCES[it]).isNotEmpty() }
+            val isFree = standing.mayAcquire(nowMs) && standing.takeoverSinceMs() != null
+            if (isFree) held += RESOURCES.indices.filter { standing.isHome(RESOURCES[it]) }
+            return emptyList()
+        }
+    }
+
+    private class OneUser : Observer {
+        lateinit var network: SimNetwork
+        var problem: String? = null
+
+        override fun afterStep(node: SimNode) {
+            if (problem != null) return
+            val users = network.nodes.filter { it.isUp && it.standing.mayAct(it.nowMs) }.map { it to it.component<TakeoverOnly>().held }
+            for (resource in RESOURCES.indices) {
+                val using = users.filter { resource in it.second }
+                if (using.size > 1) problem = "resource $resource used by ${using.map { it.first.id }} at ${network.nowMs} ms"
+            }
+        }
+    }
+
+    private fun build(
+        context: ProcessContext,
+        safeguards: Safeguards,
+    ) = Process(Membership(context.self, context.region, TIMING, context.startedMs, safeguards), listOf(TakeoverOnly()))
+
+    private fun draw(seed: Long): List<Fault> = randomFaults(Random(seed), INSTANCES, LAST_FAULT_MS)
+
+    private fun run(
+        seed: Long,
+        faults: List<Fault>,
+        safeguards: Safeguards,
+    ): String? {
+        val observer = OneUser()
+        val initial = 1 + (seed % (INSTANCES - 1)).toInt()
+        val network = SimNetwork(seed, simMembers(INSTANCES), initial, faults, observer) { build(it, safeguards) }
+        observer.network = network
+        network.run(LAST_FAULT_MS + 3_000)
+        return observer.problem
+    }
+
+    private fun search(
+        seeds: LongRange,
+        safeguards: Safeguards,
+    ): Failing? = firstFailure(seeds, ::draw) { seed, faults -> run(seed, faults, safeguards) }
+
+    @Test
+    fun `no schedule lets two instances use one resource`() {
+        assertEquals(null, search(1..SEEDS, Safeguards())?.toString())
+    }
+
+    @TestFactory
+    fun `each safeguard is needed`(): List<DynamicTest> =
+        listOf(
+            "takeover wait" to Safeguards(takeoverWait = false),
+            "recovery silence" to Safeguards(recoverySilence = false),
+        ).map { (name, safeguards) ->
+            dynamicTest(name) { println("$name: " + assertNotNull(search(1..MUTATION_SEEDS, safeguards))) }
+        }
+
+    /** The first two instances move to lists that the other three never see, because the platform is down for those meanwhile. */
+    private val skippedLists =
+        listOf(
+            Fault.Partition(5_000, 9_000, setOf(0, 4)),
+            Fault.PlatformDown(5_000, 1_500, setOf(1, 2, 3)),
+            Fault.PlatformDown(6_000, 8_000, setOf(0, 4)),
+        ) + listOf(1, 2, 3).map { Fault.Drop(5_100L + it, it) } + listOf(1, 2, 3).map { Fault.Join(6_100L + it, it) } +
+            listOf(0, 4).map { Fault.Drop(6_200L + it, it) }
+
+    @TestFactory
+    fun `a list that the others skip gives no right`(): List<DynamicTest> =
+        listOf(true, false).map { isAnchored ->
+            dynamicTest("lists anchored: $isAnchored") {
+                val problem = run(4, skippedLists, Safeguards(anchorLists = isAnchored))
+                assertEquals(isAnchored, problem == null, problem)
+            }
+        }
+
+    @Test
+    fun `all instances get the right and every resource is used`() {
+        val network = SimNetwork(1, simMembers(9), 9, emptyList()) { build(it, Safeguards()) }
+        network.run(1_000)
+        assertTrue(network.nodes.all { it.standing.mayAct(it.nowMs) })
+        assertEquals(RESOURCES.size, network.nodes.sumOf { it.component<TakeoverOnly>().held.size })
+    }
+
+    private companion object {
+        const val INSTANCES = 6
+        const val LAST_FAULT_MS = 20_000L
+        const val MUTATION_SEEDS = 4_000L
+        val TIMING = MembershipTiming(rightMs = 1_000)
+        val RESOURCES = List(12) { resourceOf("test", "resource", it) }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/sim/SimNetwork.kt
@@ -0,0 +1,211 @@
+package io.monsoonpath.coordination.sim
+
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.Member
+import io.monsoonpath.model.MemberState
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Watches a simulation; [afterStep] is called after each input that [node] processed. */
+interface Observer {
+    fun afterStep(node: SimNode) = Unit
+
+    fun onSend(
+        from: SimNode,
+        to: SimNode,
+        message: PeerMessage,
+    ) = Unit
+}
+
+/**
+ * Runs instances on one virtual time under a schedule of faults.
+ *
+ * The same [seed], [members] and [faults] give the same run. [initial] members run and are listed from the start.
+ */
+class SimNetwork(
+    seed: Long,
+    members: List<Member>,
+    initial: Int,
+    private val faults: List<Fault>,
+    private val observer: Observer = object : Observer {},
+    private val tickMs: Long = 50,
+    private val readMs: Long = 200,
+    private val ranForMs: Long = 1_000_000,
+    val driftPermille: Long = 10,
+    private val onArrival: (SimNode, SimNode, PeerMessage) -> PeerMessage = { _, _, message -> message },
+    val build: (ProcessContext) -> Process,
+) {
+    private class Scheduled(
+        val atMs: Long,
+        val seq: Long,
+        val action: () -> Unit,
+    )
+
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Scheduled>(compareBy<Scheduled> { it.atMs }.thenBy { it.seq })
+    private var seq = 0L
+    private val customs = HashMap<String, (Long) -> Unit>()
+
+    var nowMs = 0L
+        private set
+    val nodes = members.mapIndexed { i, member -> SimNode(i, member, this, Random(seed * 31 + i)) }
+    private val byId = nodes.associateBy { it.id }
+    val platform = SimPlatform(members.take(initial))
+
+    init {
+        nodes.take(initial).forEach { startProcess(it, ranForMs) }
+        faults.forEach { fault -> at(fault.atMs) { begin(fault) } }
+    }
+
+    /** Runs [action] at [atMs]. */
+    fun at(
+        atMs: Long,
+        action: () -> Unit,
+    ) {
+        queue += Scheduled(maxOf(atMs, nowMs), seq++, action)
+    }
+
+    /** Runs [action] on each [Fault.Custom] called [name]. */
+    fun onCustom(
+        name: String,
+        action: (Long) -> Unit,
+    ) {
+        customs[name] = action
+    }
+
+    /** Runs until [untilMs]; an action may call this again to let the others go on while it stands still. */
+    fun run(untilMs: Long) {
+        while (queue.isNotEmpty() && queue.peek().atMs <= untilMs) {
+            val next = queue.poll()
+            nowMs = maxOf(nowMs, next.atMs)
+            next.action()
+        }
+        nowMs = maxOf(nowMs, untilMs)
+    }
+
+    fun nodeOf(id: InstanceId): SimNode = byId.getValue(id)
+
+    /** Sends over the links as they are now; a message to an older incarnation is lost with its connection. */
+    fun send(
+        from: SimNode,
+        to: InstanceId,
+        message: PeerMessage,
+    ) {
+        val target = byId[to] ?: return
+        observer.onSend(from, target, message)
+        if (!target.isUp || isCut(from.index, target.index)) return
+        val bad = active<Fault.BadLinks> { it.forMs }
+        if (bad.any { random.nextInt(100) < it.lossPercent }) return
+        val copies = if (bad.any { random.nextInt(100) < it.duplicatePercent }) 2 else 1
+        repeat(copies) {
+            deliverLater(
+                from.self,
+                target,
+                onArrival(from, target, message),
+                1 + bad.sumOf { random.nextInt(it.maxDelayMs + 1) },
+            )
+        }
+    }
+
+    private fun deliverLater(
+        from: PeerId,
+        target: SimNode,
+        message: PeerMessage,
+        delayMs: Int,
+    ) {
+        val incarnation = target.self.incarnation
+        at(nowMs + delayMs) { whenRunning(target, incarnation.value) { target.deliver(from, message) } }
+    }
+
+    private fun whenRunning(
+        node: SimNode,
+        incarnation: Long,
+        action: () -> Unit,
+    ) {
+        if (!node.isUp || node.self.incarnation.value != incarnation) return
+        if (node.pausedUntilMs > nowMs) {
+            at(node.pausedUntilMs) { whenRunning(node, incarnation, action) }
+            return
+        }
+        action()
+        observer.afterStep(node)
+    }
+
+    private fun startProcess(
+        node: SimNode,
+        ranForMs: Long,
+    ) {
+        node.start(ranForMs)
+        val incarnation = node.self.incarnation.value
+        at(nowMs + random.nextLong(tickMs)) { repeatTick(node, incarnation) }
+        at(nowMs + random.nextLong(readMs)) { repeatRead(node, incarnation) }
+    }
+
+    private fun repeatTick(
+        node: SimNode,
+        incarnation: Long,
+    ): Unit =
+        whenRunning(node, incarnation) {
+            node.tick()
+            at(nowMs + tickMs) { repeatTick(node, incarnation) }
+        }
+
+    private fun repeatRead(
+        node: SimNode,
+        incarnation: Long,
+    ): Unit =
+        whenRunning(node, incarnation) {
+            val down = active<Fault.PlatformDown> { it.forMs }.any { node.index in it.instances }
+            val stale = active<Fault.PlatformStale> { it.forMs }.filter { node.index in it.instances }
+            if (!down) node.readList(platform.listBack(stale.maxOfOrNull { it.revisionsBack } ?: 0))
+            at(nowMs + readMs) { repeatRead(node, incarnation) }
+        }
+
+    private fun isCut(
+        from: Int,
+        to: Int,
+    ): Boolean =
+        active<Fault.Partition> { it.forMs }.any { (from in it.group) != (to in it.group) } ||
+            active<Fault.OneWayCut> { it.forMs }.any { it.from == from && it.to == to }
+
+    private inline fun <reified T : Fault> active(forMs: (T) -> Long): List<T> =
+        faults.filterIsInstance<T>().filter { nowMs >= it.atMs && nowMs < it.atMs + forMs(it) }
+
+    private fun begin(fault: Fault) {
+        when (fault) {
+            is Fault.Pause -> nodes[fault.instance].pausedUntilMs = nowMs + fault.forMs
+            is Fault.Death -> kill(fault)
+            is Fault.Leave -> publish(fault.instance, MemberState.LEAVING)
+            is Fault.Drop -> publish(fault.instance, null)
+            is Fault.Join -> join(nodes[fault.instance])
+            is Fault.Custom -> customs[fault.name]?.invoke(fault.argument)
+            is Fault.Partition, is Fault.OneWayCut, is Fault.BadLinks, is Fault.PlatformDown, is Fault.PlatformStale -> Unit
+        }
+    }
+
+    private fun kill(fault: Fault.Death) {
+        val node = nodes[fault.instance]
+        if (!node.isUp) return
+        node.stop()
+        fault.restartAfterMs?.let { after -> at(nowMs + after) { if (!node.isUp) startProcess(node, 0) } }
+    }
+
+    private fun join(node: SimNode) {
+        if (!node.isUp) startProcess(node, 0)
+        publish(node.index, MemberState.LIVE)
+    }
+
+    private fun publish(
+        index: Int,
+        state: MemberState?,
+    ) {
+        val member = nodes[index].member
+        val others = platform.newest.members.filter { it.id != member.id }
+        val wasListed = others.size < platform.newest.members.size
+        val changed = if (state == null || (state == MemberState.LEAVING && !wasListed)) null else member.copy(state = state)
+        if (others.isEmpty() && changed == null) return
+        platform.publish(others + listOfNotNull(changed))
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/sim/SimNode.kt
@@ -0,0 +1,89 @@
+package io.monsoonpath.coordination.sim
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.model.Incarnation
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.InstanceList
+import io.monsoonpath.model.Member
+import kotlin.random.Random
+
+/** A simulated instance: a place at which one process after another runs. */
+class SimNode(
+    val index: Int,
+    val member: Member,
+    private val network: SimNetwork,
+    private val random: Random,
+) {
+    val id: InstanceId get() = member.id
+
+    /** The running process, or null while none runs. */
+    var process: Process? = null
+        private set
+    var self = PeerId(id, Incarnation(0))
+        private set
+    var pausedUntilMs = 0L
+    private var clockOffsetMs = 0L
+    private var clockPermille = 1_000L
+    private var seenStanding: Standing? = null
+
+    val isUp: Boolean get() = process != null
+    val isRunning: Boolean get() = isUp && pausedUntilMs <= network.nowMs
+
+    /** The reading of the process's own clock, which differs from all others in offset and speed. */
+    val nowMs: Long get() = clockOffsetMs + network.nowMs * clockPermille / 1_000
+
+    val standing: Standing get() = checkNotNull(process).membership.standing
+
+    inline fun <reified T : Component> component(): T = checkNotNull(process).components.first { it is T } as T
+
+    fun start(ranForMs: Long) {
+        self = PeerId(id, Incarnation(random.nextLong()))
+        clockOffsetMs = random.nextLong(0, 1_000_000)
+        clockPermille = 1_000 + random.nextLong(-network.driftPermille, network.driftPermille + 1)
+        pausedUntilMs = 0
+        seenStanding = null
+        process = network.build(ProcessContext(index, self, member.region, nowMs - ranForMs, random.nextLong()))
+    }
+
+    fun stop() {
+        process = null
+    }
+
+    /** Returns the virtual time at which the process's clock showed [localMs]; exact where clocks run at one speed. */
+    fun virtualMs(localMs: Long): Long = (localMs - clockOffsetMs) * 1_000 / clockPermille
+
+    fun deliver(
+        from: PeerId,
+        message: PeerMessage,
+    ) = step({ it.membership.onMessage(nowMs, from, message) }) { it.onMessage(nowMs, from, message) }
+
+    fun tick() = step({ it.membership.onTick(nowMs) }) { it.onTick(nowMs) }
+
+    fun readList(list: InstanceList) = step({ it.membership.onList(nowMs, list) }) { it.onList(nowMs, list) }
+
+    fun apply(effects: List<Effect>) {
+        for (effect in effects) {
+            if (effect is Effect.Send) network.send(this, effect.to, effect.message)
+        }
+    }
+
+    private fun step(
+        first: (Process) -> List<Effect>,
+        then: (Component) -> List<Effect>,
+    ) {
+        val running = process ?: return
+        apply(first(running))
+        tellStanding(running)
+        running.components.forEach { apply(then(it)) }
+    }
+
+    private fun tellStanding(running: Process) {
+        val standing = running.membership.standing
+        if (standing === seenStanding) return
+        seenStanding = standing
+        running.components.forEach { apply(it.onStanding(nowMs, standing)) }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/sim/SimPlatform.kt
@@ -0,0 +1,20 @@
+package io.monsoonpath.coordination.sim
+
+import io.monsoonpath.model.InstanceList
+import io.monsoonpath.model.ListRevision
+import io.monsoonpath.model.Member
+
+/** The platform's side: all instance lists that were published, oldest first. */
+class SimPlatform(
+    initial: List<Member>,
+) {
+    private val published = arrayListOf(InstanceList(ListRevision(1), initial))
+
+    val newest: InstanceList get() = published.last()
+
+    fun publish(members: List<Member>) {
+        published += InstanceList(ListRevision(newest.revision.value + 1), members)
+    }
+
+    fun listBack(revisions: Int): InstanceList = published[(published.size - 1 - revisions).coerceAtLeast(0)]
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitSimulation.kt
@@ -0,0 +1,314 @@
+package io.monsoonpath.coordination.units
+
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.membership.Membership
+import io.monsoonpath.coordination.membership.MembershipTiming
+import io.monsoonpath.coordination.membership.Safeguards
+import io.monsoonpath.coordination.membership.Standing
+import io.monsoonpath.coordination.message.DebitReply
+import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.sim.Component
+import io.monsoonpath.coordination.sim.Fault
+import io.monsoonpath.coordination.sim.Observer
+import io.monsoonpath.coordination.sim.Process
+import io.monsoonpath.coordination.sim.ProcessContext
+import io.monsoonpath.coordination.sim.SimNetwork
+import io.monsoonpath.coordination.sim.SimNode
+import io.monsoonpath.coordination.sim.simMembers
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DomainSpec
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.Region
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import java.util.IdentityHashMap
+import kotlin.random.Random
+
+/** The limits of one process as a simulated component; [decided] is told each decision on a query. */
+class LimitsComponent internal constructor(
+    context: ProcessContext,
+    safeguards: Safeguards,
+) : Component {
+    val limits = Limits(context.self, context.region, PEER_TIMEOUT_MS, safeguards)
+    var decided: (LimitQuery, LimitDecision) -> Unit = { _, _ -> }
+
+    override fun onStanding(
+        nowMs: Long,
+        standing: Standing,
+    ) = report(limits.onStanding(nowMs, standing))
+
+    override fun onMessage(
+        nowMs: Long,
+        from: PeerId,
+        message: PeerMessage,
+    ) = report(limits.onMessage(nowMs, from, message))
+
+    override fun onTick(nowMs: Long) = report(limits.onTick(nowMs))
+
+    fun onQuery(
+        nowMs: Long,
+        query: LimitQuery,
+    ) = report(limits.onQuery(nowMs, query))
+
+    private fun report(effects: List<Effect>): List<Effect> {
+        effects.forEach { if (it is Effect.LimitDecided) decided(it.query, it.decision) }
+        return effects
+    }
+
+    companion object {
+        const val PEER_TIMEOUT_MS = 150L
+    }
+}
+
+/** Returns a configuration that holds only what limits need. */
+fun limitConfiguration(
+    revision: Long,
+    workspaces: List<WorkspaceSpec>,
+    regions: Int = 1,
+) = Configuration(
+    revision = ConfigRevision(revision),
+    domains = List(regions) { DomainSpec(FailureDomain("fd$it"), Region("r$it")) },
+    pools = emptyList(),
+    backends = emptyList(),
+    pipelines = emptyList(),
+    routes = emptyList(),
+    workspaces = workspaces,
+)
+
+/** Counts what came of the requests of one workspace. */
+class Tally {
+    var admitted = 0
+    var rateLimited = 0
+    var unreachable = 0
+    var down = 0
+    var lastRefusedMs = -1L
+    val refused get() = rateLimited + unreachable
+}
+
+/** Instances that admit requests, watched by an observer that sees each token at the moment at which it is spent. */
+class LimitSimulation internal constructor(
+    private val seed: Long,
+    private val workspaces: List<WorkspaceSpec>,
+    instances: Int,
+    initial: Int = instances,
+    faults: List<Fault> = emptyList(),
+    timing: MembershipTiming = MembershipTiming(rightMs = 1_000),
+    safeguards: Safeguards = Safeguards(),
+    private val driftPermille: Long = 0,
+    private val regions: Int = 1,
+    onArrival: (SimNode, SimNode, PeerMessage) -> PeerMessage = { _, _, message -> message },
+    private val onSent: (SimNode, SimNode, PeerMessage) -> Unit = { _, _, _ -> },
+    private val pausePermille: Int = 0,
+) : Observer {
+    private class Spend(
+        val atMs: Long,
+        val amount: Long,
+    )
+
+    private var configuration = limitConfiguration(1, workspaces, regions)
+    private val random = Random(seed xor SALT)
+    private val spends = workspaces.associate { it.id to ArrayList<Spend>() }
+    private val grantedAtMs = HashMap<Long, Long>()
+    private val takenAtMs = IdentityHashMap<Charge, Long>()
+    private var highestRate = workspaces.associate { it.id to it.rateMilliPerS }
+    private var highestBurst = workspaces.associate { it.id to it.burst }
+    val tallies = workspaces.associate { it.id to Tally() }
+    var problem: String? = null
+        private set
+
+    val network: SimNetwork =
+        SimNetwork(
+            seed,
+            simMembers(instances, regions),
+            initial,
+            faults,
+            this,
+            driftPermille = driftPermille,
+            onArrival = onArrival,
+        ) { context ->
+            val membership = Membership(context.self, context.region, timing, context.startedMs, safeguards)
+            val component = LimitsComponent(context, safeguards)
+            component.limits.onConfiguration(context.startedMs, configuration)
+            Process(membership, listOf(component))
+        }
+
+    /** Publishes new limits; each instance adopts them within two seconds. */
+    fun changeLimits(change: (WorkspaceSpec) -> WorkspaceSpec) {
+        val next = limitConfiguration(configuration.revision.value + 1, configuration.workspaces.map(change), regions)
+        configuration = next
+        highestRate = highestRate.mapValues { (id, rate) -> maxOf(rate, next.workspaces.first { it.id == id }.rateMilliPerS) }
+        highestBurst = highestBurst.mapValues { (id, burst) -> maxOf(burst, next.workspaces.first { it.id == id }.burst) }
+        for (node in network.nodes) {
+            network.at(network.nowMs + random.nextLong(2_000)) {
+                if (node.isRunning) node.component<LimitsComponent>().limits.onConfiguration(node.nowMs, next)
+            }
+        }
+    }
+
+    /** Lets a request of [workspace] arrive at [node] at [atMs]. */
+    fun request(
+        atMs: Long,
+        workspace: WorkspaceId,
+        node: () -> SimNode,
+    ) = network.at(atMs) { arrive(node(), workspace) }
+
+    private fun arrive(
+        node: SimNode,
+        workspace: WorkspaceId,
+    ) {
+        val tally = tallies.getValue(workspace)
+        if (!node.isRunning) {
+            tally.down++
+            return
+        }
+        val process = node.process
+        val component = node.component<LimitsComponent>()
+        component.decided = { query, decision -> decide(node, query.workspace, decision) }
+        var spentAtMs = -1L
+        val clock =
+            ClockMs {
+                val readMs = node.nowMs
+                if (spentAtMs < 0 && random.nextInt(1_000) < pausePermille) stopFor(node, random.nextLong(1, 6_000))
+                if (spentAtMs < 0) spentAtMs = network.nowMs
+                readMs
+            }
+        val decision = component.limits.acquire(clock, workspace)
+        if (node.process !== process) return
+        noteRight(node, decision)
+        if (decision is LimitDecision.Admitted) takenAtMs[decision.charge] = spentAtMs
+        if (decision is LimitDecision.NeedPeers) {
+            takenAtMs[decision.query.charge] = spentAtMs
+            node.apply(component.onQuery(node.nowMs, decision.query))
+            for (waitMs in QUERY_TICK_MS..LimitsComponent.PEER_TIMEOUT_MS + QUERY_TICK_MS step QUERY_TICK_MS) {
+                network.at(network.nowMs + waitMs) {
+                    if (node.process === process &&
+                        node.isRunning
+                    ) {
+                        node.apply(component.onTick(node.nowMs))
+                    }
+                }
+            }
+        } else {
+            decide(node, workspace, decision)
+        }
+    }
+
+    /** Own units may be spent only under the right of that very moment. */
+    private fun noteRight(
+        node: SimNode,
+        decision: LimitDecision,
+    ) {
+        val isAllowed = decision !is LimitDecision.Admitted || node.standing.mayAct(node.nowMs)
+        if (!isAllowed && problem == null) problem = "${node.id} spent without the right at ${network.nowMs} ms"
+    }
+
+    /** Stops all loops of [node] in the middle of a request while the others go on. */
+    private fun stopFor(
+        node: SimNode,
+        pauseMs: Long,
+    ) {
+        node.pausedUntilMs = network.nowMs + pauseMs
+        network.run(network.nowMs + pauseMs - 1)
+    }
+
+    private fun decide(
+        node: SimNode,
+        workspace: WorkspaceId,
+        decision: LimitDecision,
+    ) {
+        val tally = tallies.getValue(workspace)
+        when (decision) {
+            is LimitDecision.Admitted -> {
+                tally.admitted++
+                val charge = decision.charge
+                val localAtMs = takenAtMs[charge] ?: node.virtualMs(charge.takenAtMs)
+                val noted = spends.getValue(workspace)
+                charge.local.forEach { noted += Spend(localAtMs, it.amount) }
+                charge.remote.forEach { noted += Spend(grantedAtMs.getValue(it.debit), it.amount) }
+            }
+            is LimitDecision.RateLimited -> tally.rateLimited++
+            else -> tally.unreachable++
+        }
+        if (decision !is LimitDecision.Admitted) tally.lastRefusedMs = network.nowMs
+    }
+
+    override fun onSend(
+        from: SimNode,
+        to: SimNode,
+        message: PeerMessage,
+    ) {
+        if (message is DebitReply) grantedAtMs[message.query] = network.nowMs
+        onSent(from, to, message)
+    }
+
+    private class RightSeen(
+        val process: Process,
+        val untilMs: Long,
+        val lapsedMs: Long,
+    )
+
+    private val rights = arrayOfNulls<RightSeen>(instances)
+
+    /** Whatever was acquired before a right lapsed may not be used after it. */
+    private fun watchLapse(node: SimNode) {
+        val process = node.process ?: return
+        val before = rights[node.index]?.takeIf { it.process === process }
+        val isLapsed = before != null && node.nowMs >= before.untilMs
+        val lapsedMs = if (isLapsed) checkNotNull(before).untilMs else before?.lapsedMs ?: Long.MIN_VALUE
+        rights[node.index] = RightSeen(process, node.standing.rightUntilMs, lapsedMs)
+        val limits = node.component<LimitsComponent>().limits
+        val isKept = workspaces.any { (limits.oldestUsableMs(node.nowMs, it.id) ?: Long.MAX_VALUE) < lapsedMs }
+        if (isKept) problem = "${node.id} kept units through a lapsed right at ${network.nowMs} ms"
+    }
+
+    override fun afterStep(node: SimNode) {
+        if (problem != null) return
+        watchLapse(node)
+        for (workspace in workspaces) {
+            val own = usable(node, workspace.id)
+            if (own == 0) continue
+            for (other in network.nodes) {
+                if (other === node || other.member.region != node.member.region) continue
+                val both = own and usable(other, workspace.id)
+                if (both != 0) problem = "units ${both.toString(2)} of ${workspace.id} at ${node.id} and ${other.id} at ${network.nowMs} ms"
+            }
+        }
+    }
+
+    private fun usable(
+        node: SimNode,
+        workspace: WorkspaceId,
+    ): Int = if (node.isUp) node.component<LimitsComponent>().limits.usableUnits(node.nowMs, workspace) else 0
+
+    /** Returns by how much, with TOKEN as one, any window of any workspace passed burst + rate times window. */
+    fun overAdmitted(): Map<WorkspaceId, Long> = workspaces.associate { it.id to -lowestLevel(it.id) }.filterValues { it > 0 }
+
+    /** The spends keep within every window exactly if a bucket of the whole limit that they are taken from never runs dry. */
+    private fun lowestLevel(workspace: WorkspaceId): Long {
+        val ratePerMs = highestRate.getValue(workspace) * (1_000 + driftPermille) * UNITS
+        val capacity = highestBurst.getValue(workspace) * TOKEN + if (driftPermille > 0) 2 * ratePerMs else 0
+        var level = capacity
+        var lowest = level
+        var atMs = 0L
+        for (spend in spends.getValue(workspace).sortedBy { it.atMs }) {
+            level = minOf(capacity, level + (spend.atMs - atMs) * ratePerMs) - spend.amount
+            atMs = spend.atMs
+            lowest = minOf(lowest, level)
+        }
+        return lowest
+    }
+
+    /** Runs until [untilMs]; returns what went wrong, or null. */
+    fun run(untilMs: Long): String? {
+        network.run(untilMs)
+        return problem ?: overAdmitted().takeIf { it.isNotEmpty() }?.let { "admitted too many: $it" }
+    }
+
+    private companion object {
+        const val SALT = 0x5bd1e995L
+        const val QUERY_TICK_MS = 10L
+    }
+}
