--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/DemoFleet.kt
@@ -0,0 +1,170 @@
+package io.monsoonpath.app.demo
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
+import io.monsoonpath.app.edit.Edit
+import io.monsoonpath.app.edit.apply
+import io.monsoonpath.app.http.EntryInstance
+import io.monsoonpath.app.http.REQUEST_ID_HEADER
+import io.monsoonpath.app.standin.StandInBackend
+import io.monsoonpath.app.standin.StandInPlatform
+import io.monsoonpath.app.standin.demoSettings
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.Endpoint
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.InstanceList
+import io.monsoonpath.model.ListRevision
+import io.monsoonpath.model.Member
+import io.monsoonpath.model.Reading
+import io.monsoonpath.model.Refusal
+import io.monsoonpath.model.WorkspaceId
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.LockSupport
+
+/** What a caller got: a whole answer, or a refusal. */
+internal sealed interface Reply {
+    /** The whole answer with [body]. */
+    data class Whole(
+        val body: String,
+    ) : Reply
+
+    /** A refusal. */
+    data class Refused(
+        val refusal: Refusal,
+    ) : Reply
+}
+
+/** Three entry instances with backend servers and a platform, all on the loopback address of one process. */
+internal class DemoFleet(
+    tookMs: Long = CALL_MS,
+) : AutoCloseable {
+    private val cut = ConcurrentHashMap.newKeySet<InstanceId>()
+    private val nextId = AtomicInteger()
+    private var listRevision = 0L
+
+    /** The backend servers by id. */
+    val backends =
+        POOLS
+            .flatMap { pool -> DOMAINS.map { backendId(pool, it) } }
+            .associateWith { StandInBackend(it.value, tookMs, COLD_LOAD, WARM_AFTER).start() }
+
+    /** The stand-in for the platform. */
+    val platform = StandInPlatform().start()
+
+    /** The entry instances, one in each failure domain. */
+    val instances = DOMAINS.indices.map { start(it) }
+
+    /** The configuration published last. */
+    var configuration: Configuration = firstConfiguration(backends.mapValues { it.value.url })
+        private set
+
+    init {
+        platform.publish(configuration)
+        publishList(instances)
+        instances.forEach { it.ready.get(TIMEOUT_MS, TimeUnit.MILLISECONDS) }
+    }
+
+    private fun start(number: Int): EntryInstance {
+        val settings = demoSettings(number + 1, platform.url).copy(failureDomain = FailureDomain(DOMAINS[number]))
+        val id = settings.instance
+        return EntryInstance(settings, reaches = { other -> id !in cut && other !in cut }).also { it.start() }
+    }
+
+    /** Publishes the list of [members]. */
+    fun publishList(members: List<EntryInstance>) {
+        val entries =
+            members.map {
+                val domain = FailureDomain(DOMAINS[instances.indexOf(it)])
+                Member(it.id, Endpoint("127.0.0.1", it.coordinator.peerPort), REGION, domain)
+            }
+        platform.publish(InstanceList(ListRevision(++listRevision), entries))
+    }
+
+    /** Publishes the configuration after [edit]. */
+    fun publish(edit: Edit): Configuration {
+        configuration =
+            when (val edited = configuration.apply(edit)) {
+                is Reading.Valid -> edited.document
+                is Reading.Invalid -> error("the edit is rejected: ${edited.problems}")
+            }
+        platform.publish(configuration)
+        return configuration
+    }
+
+    /** Cuts [instance] off from its peers for good, as if it had been killed. */
+    fun cutOff(instance: EntryInstance) {
+        cut += instance.id
+    }
+
+    /** Sends a request and returns what came; the id is drawn unless given. */
+    fun send(
+        instance: EntryInstance,
+        path: String,
+        workspace: WorkspaceId?,
+        id: String = "d${nextId.incrementAndGet()}",
+    ): CompletableFuture<Reply> {
+        val headers = RequestHeaders.builder(HttpMethod.POST, path).add(REQUEST_ID_HEADER, id)
+        workspace?.let { headers.add(HttpHeaderNames.AUTHORIZATION, "Bearer ${DEMO_KEYS.getValue(it).secret}") }
+        val client = WebClient.of("http://127.0.0.1:${instance.callerPort}")
+        return client.execute(headers.build(), """{"id":"$id"}""").aggregate().thenApply { it.toReply() }
+    }
+
+    /** Sends [count] requests over [instances] in turn, all at once, and returns what came. */
+    fun sendMany(
+        count: Int,
+        path: String = MATCH,
+        workspace: WorkspaceId? = LARGE,
+        instances: List<EntryInstance> = this.instances,
+    ): List<Reply> = (0 until count).map { send(instances[it % instances.size], path, workspace) }.map { it.join() }
+
+    /** Returns how many calls the backend servers in [domain] have received. */
+    fun callsIn(domain: String): Int = backends.filterKeys { it.value.endsWith("-$domain") }.values.sumOf { it.received.size }
+
+    override fun close() {
+        instances.parallelStream().forEach { it.close() }
+        platform.close()
+        backends.values.map { it.stop() }.forEach { it.join() }
+    }
+
+    private fun AggregatedHttpResponse.toReply(): Reply =
+        if (status() == HttpStatus.OK) {
+            Reply.Whole(contentUtf8())
+        } else {
+            Reply.Refused(DocumentJson.decodeFromString(Refusal.serializer(), contentUtf8()))
+        }
+
+    private companion object {
+        const val CALL_MS = 5L
+        const val WARM_AFTER = 3
+        const val TIMEOUT_MS = 20_000L
+    }
+}
+
+/**
+ * Waits until [condition] holds.
+ *
+ * @throws TimeoutException if it does not within [limitMs]
+ */
+internal fun awaitWithin(
+    limitMs: Long,
+    what: String,
+    condition: () -> Boolean,
+) {
+    val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs)
+    while (!condition()) {
+        if (System.nanoTime() >= endNs) throw TimeoutException("not within $limitMs ms: $what")
+        LockSupport.parkNanos(POLL_NS)
+    }
+}
+
+private const val POLL_NS = 2_000_000L
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/Deployment.kt
@@ -0,0 +1,119 @@
+package io.monsoonpath.app.demo
+
+import io.monsoonpath.app.edit.IssuedKey
+import io.monsoonpath.app.edit.issueKey
+import io.monsoonpath.model.Access
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.BackendSpec
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DomainSpec
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.PipelineId
+import io.monsoonpath.model.PipelineSpec
+import io.monsoonpath.model.PoolId
+import io.monsoonpath.model.PoolSpec
+import io.monsoonpath.model.Region
+import io.monsoonpath.model.RouteSpec
+import io.monsoonpath.model.StageId
+import io.monsoonpath.model.StageKind
+import io.monsoonpath.model.StageSpec
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import java.util.Random
+
+/** The pools of the demonstration; the last is a plain service whose calls may not be repeated. */
+internal val POOLS = listOf("encode", "retrieve", "rerank", "generate", "service")
+
+/** The stages of a match, in order. */
+internal val MATCH_STAGES = POOLS.dropLast(1)
+
+/** The failure domains, each with an entry instance and a backend server of every pool. */
+internal val DOMAINS = listOf("fd1", "fd2", "fd3")
+
+/** The workspace of most requests. */
+internal val LARGE = WorkspaceId("large")
+
+/** The workspace that sends more than its rate. */
+internal val SMALL = WorkspaceId("small")
+
+/** The burst of [SMALL]. */
+internal const val SMALL_BURST = 5
+
+/** The rate of [SMALL], in thousandths of a request per second. */
+internal const val SMALL_RATE_MILLI_PER_S = 5_000L
+
+/** The keys of the demonstration, drawn from a fixed seed: they guard nothing but the stand-ins. */
+internal val DEMO_KEYS: Map<WorkspaceId, IssuedKey> =
+    Random(1).let { random -> listOf(LARGE, SMALL).associateWith { issueKey(it, random) } }
+
+/** Returns the first configuration, with backend servers at [urls] by pool and failure domain. */
+internal fun firstConfiguration(urls: Map<BackendId, String>): Configuration =
+    Configuration(
+        revision = ConfigRevision(1),
+        domains = DOMAINS.map { DomainSpec(FailureDomain(it), REGION) },
+        pools = POOLS.map { PoolSpec(PoolId(it), kindOf(it)) },
+        backends = urls.map { (id, url) -> backendSpec(id, url) },
+        pipelines =
+            listOf(
+                PipelineSpec(PipelineId("match"), DEADLINE_MS, MATCH_STAGES.map { stageOf(it, isIdempotent = true) }),
+                PipelineSpec(PipelineId("order"), DEADLINE_MS, listOf(stageOf("service", isIdempotent = false))),
+                PipelineSpec(PipelineId("look-up"), DEADLINE_MS, listOf(stageOf("retrieve", isIdempotent = true))),
+            ),
+        routes =
+            listOf(
+                RouteSpec(MATCH, PipelineId("match")),
+                RouteSpec(ORDER, PipelineId("order"), idempotent = false),
+                RouteSpec(LOOK_UP, PipelineId("look-up"), Access.OPEN),
+            ),
+        workspaces =
+            listOf(
+                WorkspaceSpec(LARGE, rateMilliPerS = 1_000_000, burst = 500, weight = 10),
+                WorkspaceSpec(SMALL, SMALL_RATE_MILLI_PER_S, SMALL_BURST),
+            ),
+        keys = DEMO_KEYS.values.map { it.spec },
+    )
+
+/** Returns the id of the backend server of [pool] in [domain]. */
+internal fun backendId(
+    pool: String,
+    domain: String,
+) = BackendId("$pool-$domain")
+
+private fun backendSpec(
+    id: BackendId,
+    url: String,
+) = BackendSpec(
+    id = id,
+    url = url,
+    pool = PoolId(id.value.substringBefore('-')),
+    domain = FailureDomain(id.value.substringAfter('-')),
+    coldLoad = COLD_LOAD,
+    fullLoad = FULL_LOAD,
+)
+
+private fun kindOf(pool: String) = StageKind.valueOf(pool.uppercase())
+
+private fun stageOf(
+    pool: String,
+    isIdempotent: Boolean,
+) = StageSpec(StageId(pool), kindOf(pool), PoolId(pool), "/$pool", isIdempotent, expectedMs = EXPECTED_MS)
+
+/** The region of everything. */
+internal val REGION = Region("r1")
+
+/** The path of a match: four stages that may be repeated. */
+internal const val MATCH = "/v1/match"
+
+/** The path of an order: one call that may not be repeated. */
+internal const val ORDER = "/v1/orders"
+
+/** The path of a look-up, which is open to all. */
+internal const val LOOK_UP = "/v1/look-up"
+
+/** What a backend server bears at once in a cold start. */
+internal const val COLD_LOAD = 4
+
+private const val FULL_LOAD = 64
+private const val DEADLINE_MS = 4_000L
+private const val EXPECTED_MS = 10L
