Show the path of a request under faults, streams, keys and a planned stop

Cause: nothing showed that refusals are true, that a stream that broke off is not taken for a whole one, or that a stop cuts nothing. A caller that left did not end the work behind it: the response's future was not cancelled with the response.

Change: stand-ins for backend servers that fail in each way, stream tokens, fall over in a cold start and keep every byte that they receive; tables of cases over loopback sockets; a test of the direction of dependencies. The callers' server is a class of its own. A response that ends early cancels its request. The demonstration stops its servers side by side: each waits two seconds for its accepting threads, one after another that was most of its time.

--- a/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
@@ -40,9 +40,7 @@
     println(
         "$REQUESTS requests over ${STAGES.size} stages and ${instances.size} entry instances: ${REQUESTS - failures.size} whole answers",
     )
-    instances.forEach { it.close() }
-    platform.close()
-    backends.values.forEach { it.close() }
+    (instances + platform + backends.values).parallelStream().forEach { it.close() }
     return failures
 }
 
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/CallerServer.kt
@@ -0,0 +1,79 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import io.monsoonpath.app.config.ConfigurationView
+import io.monsoonpath.app.request.RequestMetrics
+import io.monsoonpath.app.request.RequestPorts
+import io.monsoonpath.app.request.requestPath
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.Endpoint
+import io.monsoonpath.model.EventSink
+import io.monsoonpath.model.LimitSettings
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import java.net.InetSocketAddress
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+
+/**
+ * The server that callers use, with the whole path of a request behind it.
+ *
+ * @param views returns the configuration in force, or null before the first one
+ */
+internal class CallerServer(
+    endpoint: Endpoint,
+    limits: LimitSettings,
+    clock: ClockMs,
+    events: EventSink,
+    registry: MeterRegistry,
+    state: ServiceState,
+    views: () -> ConfigurationView?,
+    ports: RequestPorts,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = RequestMetrics(registry)
+    private val running = RunningRequests()
+    private val filters = requestPath(clock, events, metrics, ports, BackendSender(metrics))
+    private val service = CallerService(clock, scope, views, { state.isClosed }, events, metrics, filters)
+    private val server =
+        serverAt(endpoint)
+            .service("prefix:/", running.counting(service))
+            .bounded(limits)
+            .errorHandler(RefusalErrorHandler)
+            .build()
+
+    init {
+        Gauge.builder("monsoonpath.requests.running", running) { it.count.toDouble() }.register(registry)
+    }
+
+    /** The port on which callers are served. */
+    val port: Int get() = server.activeLocalPort()
+
+    /** How many requests are running, streams included. */
+    val runningCount: Int get() = running.count
+
+    /** Starts serving. */
+    fun start(): CompletableFuture<Void> = server.start()
+
+    /** Waits until no request is running, for at most [timeoutMs]; returns whether none is. */
+    fun awaitIdle(timeoutMs: Long): Boolean = running.awaitNone(timeoutMs)
+
+    /** Closes the connections and ends what still runs. */
+    fun stop(): CompletableFuture<Void> = server.stop().whenComplete { _, _ -> scope.cancel() }
+}
+
+/** Returns the builder of a server at [endpoint]. */
+internal fun serverAt(endpoint: Endpoint) = Server.builder().http(InetSocketAddress(endpoint.host, endpoint.port))
+
+private fun ServerBuilder.bounded(limits: LimitSettings) =
+    maxRequestLength(limits.maxBodyBytes)
+        .http1MaxHeaderSize(limits.maxHeaderBytes)
+        .http2MaxHeaderListSize(limits.maxHeaderBytes.toLong())
+        .maxNumConnections(limits.maxConnections)
+        .idleTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
+        .requestTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
--- a/app/src/main/kotlin/io/monsoonpath/app/http/CallerService.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/CallerService.kt
@@ -47,8 +47,10 @@
         req: HttpRequest,
     ): HttpResponse {
         val receivedAtMs = clock.nowMs()
-        val response = scope.future(EventLoopDispatcher(ctx.eventLoop().withoutContext())) { answer(ctx, req, receivedAtMs) }
-        return HttpResponse.of(response)
+        val answer = scope.future(EventLoopDispatcher(ctx.eventLoop().withoutContext())) { answer(ctx, req, receivedAtMs) }
+        val response = HttpResponse.of(answer)
+        response.whenComplete().exceptionally { null.also { answer.cancel(true) } }
+        return response
     }
 
     private suspend fun answer(
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -1,28 +1,17 @@
 package io.monsoonpath.app.http
 
-import com.linecorp.armeria.server.Server
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.monsoonpath.app.config.ConfigurationStore
 import io.monsoonpath.app.event.EventLog
 import io.monsoonpath.app.platform.PlatformReader
-import io.monsoonpath.app.request.Next
-import io.monsoonpath.app.request.RequestMetrics
 import io.monsoonpath.app.request.RequestPorts
 import io.monsoonpath.app.request.localPorts
-import io.monsoonpath.app.request.requestPath
-import io.monsoonpath.model.Endpoint
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.Settings
 import io.monsoonpath.model.systemClockMs
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
-import java.net.InetSocketAddress
 import java.security.SecureRandom
-import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
 /** One running entry instance: its servers, its controllers and the state they publish. */
@@ -31,11 +20,8 @@
 ) : AutoCloseable {
     private val clock = systemClockMs()
     private val incarnation = Incarnation(SecureRandom().nextLong())
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val metrics = RequestMetrics(registry)
     private val state = ServiceState(settings, clock)
-    private val running = RunningRequests()
 
     /** Completes when the instance can serve callers. */
     val ready = CompletableFuture<Unit>()
@@ -51,18 +37,18 @@
 
     private val platform = PlatformReader(settings.platformUrl) { configurations.adopt(it, "platform") }
     private val ports: RequestPorts = localPorts(clock, settings.limits, state)
-    private val callerServer = callerServer(requestPath(clock, events, metrics, ports, BackendSender(metrics)))
+    private val callers =
+        CallerServer(settings.caller, settings.limits, clock, events, registry, state, configurations::currentOrNull, ports)
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
 
     init {
-        Gauge.builder("monsoonpath.requests.running", running) { it.count.toDouble() }.register(registry)
         Gauge.builder("monsoonpath.events.dropped", events) { it.dropped.toDouble() }.register(registry)
         Gauge.builder("monsoonpath.configuration.revision", configurations) { it.revision.value.toDouble() }.register(registry)
         Gauge.builder("monsoonpath.documents.rejected", configurations) { it.rejections.count.toDouble() }.register(registry)
     }
 
     /** The port on which callers are served. */
-    val callerPort: Int get() = callerServer.activeLocalPort()
+    val callerPort: Int get() = callers.port
 
     /** The port on which operators are served. */
     val operatorPort: Int get() = operatorServer.activeLocalPort()
@@ -70,7 +56,7 @@
     /** Starts the servers and follows the platform's configuration. */
     fun start() {
         platform.start()
-        CompletableFuture.allOf(operatorServer.start(), callerServer.start()).join()
+        CompletableFuture.allOf(operatorServer.start(), callers.start()).join()
     }
 
     /**
@@ -81,30 +67,11 @@
         state.stop()
         Thread.sleep(settings.timing.shutdownGraceMs)
         state.close()
-        running.awaitNone(settings.timing.shutdownDrainMs)
+        callers.awaitIdle(settings.timing.shutdownDrainMs)
         platform.close()
-        CompletableFuture.allOf(callerServer.stop(), operatorServer.stop()).join()
-        scope.cancel()
+        CompletableFuture.allOf(callers.stop(), operatorServer.stop()).join()
     }
 
-    private fun callerServer(filters: Next): Server {
-        val service =
-            CallerService(clock, scope, configurations::currentOrNull, { state.isClosed }, events, metrics, filters)
-        val limits = settings.limits
-        return serverAt(settings.caller)
-            .service("prefix:/", service.decorate { running.counting(it) })
-            .maxRequestLength(limits.maxBodyBytes)
-            .http1MaxHeaderSize(limits.maxHeaderBytes)
-            .http2MaxHeaderListSize(limits.maxHeaderBytes.toLong())
-            .maxNumConnections(limits.maxConnections)
-            .idleTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
-            .requestTimeout(Duration.ofMillis(limits.callerIdleTimeoutMs))
-            .errorHandler(RefusalErrorHandler)
-            .build()
-    }
-
-    private fun serverAt(endpoint: Endpoint) = Server.builder().http(InetSocketAddress(endpoint.host, endpoint.port))
-
     private fun status() =
         InstanceStatus(
             instance = settings.instance,
@@ -116,7 +83,7 @@
             configuration = configurations.revision,
             rejectedDocuments = configurations.rejections.count,
             lastProblems = configurations.rejections.lastProblems,
-            runningRequests = running.count,
+            runningRequests = callers.runningCount,
             lastEvent = events.lastSeq,
             eventsDropped = events.dropped,
         )
--- a/app/src/main/kotlin/io/monsoonpath/app/http/TokenReader.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/TokenReader.kt
@@ -42,7 +42,7 @@
     val event = eventOrNull(line.removePrefix(DATA_FIELD)) ?: return SendResult.Failed("sent an event that cannot be read")
     if (event.count != null) return SendResult.StreamEnded(event.count, incarnation)
     if (event.index == null || event.text == null) return SendResult.Failed("sent an event that cannot be read")
-    return if (deliver(Token(event.index, event.text))) null else SendResult.Failed("left out a token before ${event.index}")
+    return if (deliver(Token(event.index, event.text))) null else SendResult.Failed("was given up at token ${event.index}")
 }
 
 private fun eventOrNull(json: String): EngineEvent? =
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/architecture/ArchitectureTest.kt
@@ -0,0 +1,100 @@
+package io.monsoonpath.app.architecture
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.io.File
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** What each module and package may use, read off the source. */
+class ArchitectureTest {
+    private class Source(
+        val file: File,
+    ) {
+        val lines = file.readLines()
+        val imports = lines.filter { it.startsWith("import ") }.map { it.removePrefix("import ").substringBefore(" as ") }
+    }
+
+    private val root = generateSequence(File("").absoluteFile) { it.parentFile }.first { File(it, ".editorconfig").exists() }
+
+    private fun sources(module: String): List<Source> =
+        File(root, "$module/src/main/kotlin")
+            .walk()
+            .filter { it.extension == "kt" }
+            .map { Source(it) }
+            .toList()
+
+    @TestFactory
+    fun `decisions use no input, output, thread, wall clock or global random source`(): List<DynamicTest> =
+        listOf("model", "coordination", "policy").map { module ->
+            dynamicTest(module) {
+                val found = sources(module)
+                assertTrue(found.isNotEmpty(), "no sources in $module")
+                val wrong =
+                    found.filterNot { it.file.name in CLOCK_FILES }.flatMap { source ->
+                        source.offences().map { "${source.file.name}: $it" }
+                    }
+                assertEquals(emptyList(), wrong)
+            }
+        }
+
+    private fun Source.offences(): List<String> =
+        imports.filter { import -> FORBIDDEN_IMPORTS.any { import.startsWith(it) } } +
+            lines.filter { line -> FORBIDDEN_CALLS.any { it.containsMatchIn(line) } }
+
+    @TestFactory
+    fun `packages of the program depend in one direction`(): List<DynamicTest> =
+        ALLOWED.map { (from, allowed) ->
+            dynamicTest(from) {
+                val used =
+                    sources("app")
+                        .filter { it.file.parentFile.name == from }
+                        .flatMap { source -> source.imports }
+                        .filter { it.startsWith(APP) }
+                        .map { it.removePrefix(APP).substringBefore('.') }
+                        .toSet()
+                assertEquals(emptySet(), used - allowed - from)
+            }
+        }
+
+    @TestFactory
+    fun `the path of a request knows nothing of the HTTP library`(): List<DynamicTest> =
+        listOf("request", "config", "event").map { name ->
+            dynamicTest(name) {
+                val found = sources("app").filter { it.file.parentFile.name == name }
+                assertTrue(found.isNotEmpty(), "no sources in $name")
+                assertEquals(emptyList(), found.flatMap { it.imports }.filter { it.startsWith("com.linecorp") || it.startsWith("io.ktor") })
+            }
+        }
+
+    private companion object {
+        const val APP = "io.monsoonpath.app."
+
+        /** The file that makes the process's one clock. */
+        val CLOCK_FILES = setOf("ClockMs.kt")
+
+        /** Counters and maps for several threads are data; what starts, blocks or schedules threads is not. */
+        val FORBIDDEN_IMPORTS =
+            listOf("java.io.", "java.net.", "java.nio.channels.", "java.nio.file.", "java.time.", "java.util.Timer", "kotlinx.coroutines.") +
+                listOf("kotlin.concurrent.", "kotlin.io.path.", "java.security.SecureRandom", "com.linecorp.", "io.ktor.", "io.netty.") +
+                listOf("Exec", "Sched", "Compl", "Future", "Fork", "Thread", "locks.", "CountDown", "Semaphore", "Cyclic", "Phaser", "Exch", "Time")
+                    .map { "java.util.concurrent.$it" }
+
+        val FORBIDDEN_CALLS =
+            listOf(
+                "System\\.(nanoTime|currentTimeMillis)",
+                "Thread[.(]",
+                "\\bRandom\\.(next|Default)",
+                "Math\\.random",
+                "\\bThreadLocalRandom",
+            ).map { Regex(it) }
+
+        val ALLOWED =
+            mapOf(
+                "event" to emptySet(),
+                "config" to emptySet(),
+                "request" to setOf("config"),
+            )
+    }
+}
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/ShutdownTest.kt
@@ -0,0 +1,99 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import io.monsoonpath.app.standin.DEMO_KEY
+import io.monsoonpath.app.standin.StandInAct
+import io.monsoonpath.app.standin.StandInBackend
+import io.monsoonpath.app.standin.StandInPlatform
+import io.monsoonpath.app.standin.demoConfiguration
+import io.monsoonpath.app.standin.demoSettings
+import io.monsoonpath.model.Ran
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.TimingSettings
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** A planned stop under load, with the process's own servers and platform client. */
+class ShutdownTest {
+    private val encoder = StandInBackend("encode").start()
+    private val engine = StandInBackend("generate").start()
+    private val platform = StandInPlatform().start()
+    private val instance: EntryInstance
+
+    init {
+        platform.publish(demoConfiguration(mapOf("encode" to encoder.url, "generate" to engine.url)))
+        val timing = TimingSettings(shutdownGraceMs = 300, shutdownDrainMs = 20_000)
+        instance = EntryInstance(demoSettings(1, platform.url).copy(timing = timing))
+        instance.start()
+        instance.ready.get(10, TimeUnit.SECONDS)
+    }
+
+    private fun operator(path: String): Int =
+        WebClient
+            .of("http://127.0.0.1:${instance.operatorPort}")
+            .get(path)
+            .aggregate()
+            .join()
+            .status()
+            .code()
+
+    @Test
+    fun `a planned stop cuts no request and no stream`() {
+        encoder.act = { StandInAct.Answer(20) }
+        engine.act = { if (it.requestId == "stream") StandInAct.Tokens(100, tokenMs = 10) else StandInAct.Answer(20) }
+        val factory = ClientFactory.builder().build()
+        val client = WebClient.builder("http://127.0.0.1:${instance.callerPort}").factory(factory).build()
+        assertEquals(200, operator("/readyz"))
+        val stream = BodyReader(client.execute(head("stream", "text/event-stream"), "{}"))
+        stream.awaitStart()
+        val whole = AtomicInteger()
+        val refused = AtomicInteger()
+        val load = CompletableFuture.allOf(*Array(8) { worker(client, it, whole, refused) })
+        eventually("no load") { whole.get() >= 8 }
+        val closing = CompletableFuture.runAsync { instance.close() }
+        eventually("readiness stayed") { operator("/readyz") == 503 }
+        assertEquals(200, operator("/healthz"))
+        load.get(20, TimeUnit.SECONDS)
+        closing.get(20, TimeUnit.SECONDS)
+        assertEquals("end" to """{"count":100}""", eventsOf(stream.await()).last().let { it.name to it.data })
+        assertEquals(8, refused.get(), "each worker ends with one truthful refusal")
+        factory.closeAsync()
+        encoder.stop()
+        engine.stop()
+        platform.close()
+    }
+
+    /** Sends one request after another until it is refused; every answer must be whole or "not run". */
+    private fun worker(
+        client: WebClient,
+        number: Int,
+        whole: AtomicInteger,
+        refused: AtomicInteger,
+    ): CompletableFuture<Unit> =
+        CompletableFuture.supplyAsync {
+            var n = 0
+            while (true) {
+                val id = "w$number-${n++}"
+                val answer = client.execute(head(id, "application/json"), """{"id":"$id"}""").aggregate().join()
+                if (answer.status().code() != 200) {
+                    assertEquals(RefusalReason.SHUTTING_DOWN to Ran.NOT_RUN, answer.refusal().let { it.reason to it.ran })
+                    assertEquals(0, encoder.runsOf(id))
+                    refused.incrementAndGet()
+                    break
+                }
+                assertEquals("""{"by":"generate","of":{"by":"encode","of":{"id":"$id"}}}""", answer.contentUtf8())
+                whole.incrementAndGet()
+            }
+        }
+
+    private fun head(
+        id: String,
+        accept: String,
+    ) = RequestHeaders.of(HttpMethod.POST, "/v1/match", REQUEST_ID_HEADER, id, "authorization", "Bearer $DEMO_KEY", "accept", accept)
+}
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/StreamsTest.kt
@@ -0,0 +1,126 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.MediaType
+import io.monsoonpath.app.standin.StandInAct
+import io.monsoonpath.app.standin.StandInAct.Tokens
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.StageKind
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Token streams to callers: whole and in order, or visibly broken off. */
+class StreamsTest {
+    /**
+     * @property first what the first engine does, [second] what the second one does
+     * @property tokens how many tokens arrive
+     * @property end whether the explicit end arrives; else the stream ends in an error event
+     */
+    private class Case(
+        val name: String,
+        val first: StandInAct,
+        val second: StandInAct = Tokens(COUNT),
+        val tokens: Long = COUNT,
+        val end: Boolean = true,
+        val resumedFrom: Long? = null,
+    )
+
+    private val cases =
+        listOf(
+            Case("whole", Tokens(COUNT)),
+            Case("no tokens at all", Tokens(0), tokens = 0),
+            Case("a token comes twice", Tokens(COUNT, repeat = 4)),
+            Case("a token is left out", Tokens(COUNT, skip = 4), resumedFrom = 4),
+            Case("dies before the first token", Tokens(COUNT, dieBefore = 0), resumedFrom = 0),
+            Case("dies in the midst", Tokens(COUNT, dieBefore = 7), resumedFrom = 7),
+            Case("the end is missing", Tokens(COUNT, hasEnd = false), resumedFrom = COUNT),
+            Case("the last token is left out", Tokens(COUNT, skip = COUNT - 1), resumedFrom = COUNT - 1),
+            Case("both die", Tokens(COUNT, dieBefore = 7), Tokens(COUNT, dieBefore = 9), tokens = 9, end = false, resumedFrom = 7),
+            Case("the second one hangs", Tokens(COUNT, dieBefore = 7), StandInAct.Hang, tokens = 7, end = false, resumedFrom = 7),
+        )
+
+    @TestFactory
+    fun `each token comes once, in order, and a broken stream has no end`(): List<DynamicTest> =
+        cases.map { case -> dynamicTest(case.name) { check(case) } }
+
+    private fun check(case: Case) {
+        Harness(listOf(StageKind.RETRIEVE, StageKind.GENERATE), deadlineMs = 1_500).use { harness ->
+            val engines = harness.backends[1]
+            engines[0].act = { case.first }
+            engines[1].act = { case.second }
+            val events = eventsOf(harness.stream("r1").contentUtf8())
+            val tokens = events.filter { it.name == "token" }
+            assertEquals((0 until case.tokens).map { """{"index":$it,"text":"t$it"}""" }, tokens.map { it.data })
+            assertEquals((0 until case.tokens).map { it.toString() }, tokens.map { it.id })
+            assertEquals(case.resumedFrom, engines[1].received.firstOrNull()?.resumeFrom)
+            val last = events.last()
+            if (case.end) {
+                assertEquals(
+                    "end" to """{"count":$COUNT}""".takeIf { case.tokens > 0 },
+                    last.name to last.data.takeIf { case.tokens > 0 },
+                )
+            }
+            if (!case.end) assertTrue(last.name == "error" && "\"ran\":\"unknown\"" in last.data, "$last")
+            assertEquals(1, events.count { it.name != "token" }, "an end or an error, once")
+        }
+    }
+
+    @Test
+    fun `a refusal before the first token is an ordinary response`() {
+        Harness(listOf(StageKind.GENERATE)).use { harness ->
+            harness.backends[0].forEach { it.stop().join() }
+            val answer = harness.stream("r1")
+            assertEquals(502, answer.status().code())
+            assertEquals(RefusalReason.BACKEND_FAILED, answer.refusal().reason)
+        }
+    }
+
+    @Test
+    fun `a caller that does not want tokens gets a whole answer`() {
+        Harness(listOf(StageKind.GENERATE)).use { assertEquals(it.expected("r1"), it.call("r1").contentUtf8()) }
+    }
+
+    @Test
+    fun `a withdrawn key ends a stream with an error event`() {
+        Harness(listOf(StageKind.GENERATE), deadlineMs = 60_000).use { harness ->
+            harness.backends[0].forEach { it.act = { Tokens(100_000, tokenMs = 20) } }
+            val body = BodyReader(harness.openStream("r1"))
+            body.awaitStart()
+            harness.publish { base -> base.copy(keys = base.keys.map { it.copy(withdrawn = true) }) }
+            val events = eventsOf(body.await())
+            assertEquals("error", events.last().name)
+            assertTrue(
+                "\"reason\":\"key-withdrawn\"" in events.last().data && "\"ran\":\"unknown\"" in events.last().data,
+                "${events.last()}",
+            )
+            assertFalse(events.any { it.name == "end" })
+            eventually("the engine was not told") { harness.backends[0].sumOf { it.cancelled.get() } == 1 }
+        }
+    }
+
+    private companion object {
+        const val COUNT = 20L
+    }
+}
+
+/** One server-sent event as the caller reads it. */
+internal data class CallerEvent(
+    val id: String?,
+    val name: String,
+    val data: String,
+)
+
+internal fun Harness.openStream(id: String) = send(id) { it.add(HttpHeaderNames.ACCEPT, MediaType.EVENT_STREAM.toString()) }
+
+internal fun Harness.stream(id: String) = openStream(id).aggregate().join()
+
+internal fun eventsOf(text: String): List<CallerEvent> =
+    text.split("\n\n").filter { it.isNotBlank() }.map { block ->
+        val fields = block.lines().associate { it.substringBefore(':') to it.substringAfter(':').trim() }
+        CallerEvent(fields["id"], fields["event"].orEmpty(), fields["data"].orEmpty())
+    }
