--- a/app/src/test/kotlin/io/monsoonpath/app/architecture/ArchitectureTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/architecture/ArchitectureTest.kt
@@ -76,10 +76,31 @@
 
         /** Counters and maps for several threads are data; what starts, blocks or schedules threads is not. */
         val FORBIDDEN_IMPORTS =
-            listOf("java.io.", "java.net.", "java.nio.channels.", "java.nio.file.", "java.time.", "java.util.Timer", "kotlinx.coroutines.") +
+            listOf(
+                "java.io.",
+                "java.net.",
+                "java.nio.channels.",
+                "java.nio.file.",
+                "java.time.",
+                "java.util.Timer",
+                "kotlinx.coroutines.",
+            ) +
                 listOf("kotlin.concurrent.", "kotlin.io.path.", "java.security.SecureRandom", "com.linecorp.", "io.ktor.", "io.netty.") +
-                listOf("Exec", "Sched", "Compl", "Future", "Fork", "Thread", "locks.", "CountDown", "Semaphore", "Cyclic", "Phaser", "Exch", "Time")
-                    .map { "java.util.concurrent.$it" }
+                listOf(
+                    "Exec",
+                    "Sched",
+                    "Compl",
+                    "Future",
+                    "Fork",
+                    "Thread",
+                    "locks.",
+                    "CountDown",
+                    "Semaphore",
+                    "Cyclic",
+                    "Phaser",
+                    "Exch",
+                    "Time",
+                ).map { "java.util.concurrent.$it" }
 
         val FORBIDDEN_CALLS =
             listOf(
--- a/app/src/test/kotlin/io/monsoonpath/app/http/FaultsTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/FaultsTest.kt
@@ -86,8 +86,9 @@
         val harness = Harness(case.kinds, case.idempotent, deadlineMs = if (case.reason == late) LATE_DEADLINE_MS else 5_000)
         harness.use {
             val stage = case.kinds.lastIndex
-            val faulty = if (case.onAll) it.backends[stage] else it.backends[stage].take(1)
-            faulty.forEach { backend -> if (case.act == null) backend.stop().join() else backend.act = { case.act } }
+            val count = if (case.onAll) 2 else 1
+            val act = case.act
+            if (act == null) it.unplug(stage, count) else it.backends[stage].take(count).forEach { backend -> backend.act = { act } }
             val answer = it.call("r1")
             assertEquals(case.received, it.receivedBy("r1", stage), "calls received")
             case.dropped?.let { kind -> assertEquals(1, it.dropped(kind), "dropped as $kind") }
--- a/app/src/test/kotlin/io/monsoonpath/app/http/Harness.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/Harness.kt
@@ -32,6 +32,7 @@
 import io.monsoonpath.model.PipelineSpec
 import io.monsoonpath.model.PoolId
 import io.monsoonpath.model.PoolSpec
+import io.monsoonpath.model.Ran
 import io.monsoonpath.model.Refusal
 import io.monsoonpath.model.Region
 import io.monsoonpath.model.RouteSpec
@@ -41,6 +42,8 @@
 import io.monsoonpath.model.WorkspaceId
 import io.monsoonpath.model.WorkspaceSpec
 import io.monsoonpath.model.systemClockMs
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.util.HexFormat
 import java.util.concurrent.CompletableFuture
 import kotlin.test.assertTrue
@@ -99,6 +102,17 @@
         configurations.adopt(change(base().copy(revision = ConfigRevision(++revision))), "test")
     }
 
+    /** Moves the first [count] backend servers of [stage] to ports at which nothing listens. */
+    fun unplug(
+        stage: Int,
+        count: Int,
+    ) {
+        val gone = (1..count).map { "s$stage-$it" }
+        publish { base -> base.copy(backends = base.backends.map { if (it.id.value in gone) it.copy(url = closedUrl()) else it }) }
+    }
+
+    private fun closedUrl() = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "http://127.0.0.1:${it.localPort}" }
+
     fun send(
         id: String,
         path: String = "/v1/run",
@@ -142,7 +156,7 @@
         refusal: Refusal,
     ) {
         val received = kinds.indices.sumOf { receivedBy(id, it) }
-        assertTrue(refusal.ran != io.monsoonpath.model.Ran.NOT_RUN || received == 0, "said not-run after $received calls: $refusal")
+        assertTrue(refusal.ran != Ran.NOT_RUN || received == 0, "said not-run after $received calls: $refusal")
     }
 
     override fun close() {
--- a/app/src/test/kotlin/io/monsoonpath/app/http/ShutdownTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/ShutdownTest.kt
@@ -9,6 +9,7 @@
 import io.monsoonpath.app.standin.StandInBackend
 import io.monsoonpath.app.standin.StandInPlatform
 import io.monsoonpath.app.standin.demoConfiguration
+import io.monsoonpath.app.standin.demoInstances
 import io.monsoonpath.app.standin.demoSettings
 import io.monsoonpath.model.Ran
 import io.monsoonpath.model.RefusalReason
@@ -31,6 +32,7 @@
         val timing = TimingSettings(shutdownGraceMs = 300, shutdownDrainMs = 20_000)
         instance = EntryInstance(demoSettings(1, platform.url).copy(timing = timing))
         instance.start()
+        platform.publish(demoInstances(1, mapOf(instance.id to instance.coordinator.peerPort)))
         instance.ready.get(10, TimeUnit.SECONDS)
     }
 
--- a/app/src/test/kotlin/io/monsoonpath/app/http/StreamsTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/StreamsTest.kt
@@ -73,7 +73,7 @@
     @Test
     fun `a refusal before the first token is an ordinary response`() {
         Harness(listOf(StageKind.GENERATE)).use { harness ->
-            harness.backends[0].forEach { it.stop().join() }
+            harness.unplug(0, 2)
             val answer = harness.stream("r1")
             assertEquals(502, answer.status().code())
             assertEquals(RefusalReason.BACKEND_FAILED, answer.refusal().reason)
