--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -7,10 +7,10 @@
 import io.monsoonpath.app.control.Coordinator
 import io.monsoonpath.app.control.currencyGate
 import io.monsoonpath.app.event.EventLog
-import io.monsoonpath.app.request.RequestPorts
-import io.monsoonpath.app.request.localPorts
 import io.monsoonpath.app.peer.PeerSecrets
 import io.monsoonpath.app.peer.readPeerSecrets
+import io.monsoonpath.app.request.RequestPorts
+import io.monsoonpath.app.request.localPorts
 import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.InstanceId
