Measure the request path against direct calls and end a stop with code 0

Cause: no bound held the added latency and throughput, and a process that had stopped in order still ended with the code of the signal, 143.

The process halts with code 0 after the stop.

--- a/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/ServeCommand.kt
@@ -16,15 +16,15 @@
 
     override fun execute() {
         val instance = loadInstance(settingsFile)
-        val stopped = CountDownLatch(1)
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                instance.close()
-                stopped.countDown()
-            },
-        )
+        Runtime.getRuntime().addShutdownHook(Thread { stop(instance) })
         instance.start()
-        stopped.await()
+        CountDownLatch(1).await()
+    }
+
+    /** Ends the process by itself: after a signal it would otherwise end with the signal's code, however orderly it stopped. */
+    private fun stop(instance: EntryInstance) {
+        instance.close()
+        Runtime.getRuntime().halt(0)
     }
 }
 
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RequestPathBench.kt
@@ -0,0 +1,140 @@
+package io.monsoonpath.app.http
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import org.HdrHistogram.ConcurrentHistogram
+import java.util.concurrent.Phaser
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.locks.LockSupport
+import kotlin.test.assertEquals
+
+/** Latencies at one load, in microseconds. */
+internal class Latencies(
+    val p50Us: Long,
+    val p99Us: Long,
+)
+
+/** Measures one-stage requests through a caller's server and straight to its backend server, in one process. */
+internal class RequestPathBench : AutoCloseable {
+    private val workspace = WorkspaceSpec(WorkspaceId("w1"), rateMilliPerS = 1_000_000_000, burst = 1_000_000)
+    private val harness = Harness(workspace = workspace)
+    private val factory = ClientFactory.builder().maxNumEventLoopsPerEndpoint(CLIENT_LOOPS).build()
+    private val ids = AtomicLong()
+    private val via = target("http://127.0.0.1:${harness.server.port}", "/v1/run")
+    private val direct = target(harness.backends[0][0].url, "/s0")
+
+    init {
+        harness.backends.flatten().forEach { it.keepsCalls = false }
+    }
+
+    private class Target(
+        val client: WebClient,
+        val path: String,
+    )
+
+    private fun target(
+        url: String,
+        path: String,
+    ) = Target(WebClient.builder(url).factory(factory).build(), path)
+
+    /** Returns the requests a second that [CONCURRENCY] callers get answered in [seconds], through the server or not. */
+    fun throughput(
+        throughServer: Boolean,
+        seconds: Double,
+    ): Double {
+        val target = if (throughServer) via else direct
+        val answered = AtomicLong()
+        val running = Phaser(1)
+        val startNs = System.nanoTime()
+        val endNs = startNs + (seconds * NS_PER_S).toLong()
+        repeat(CONCURRENCY) {
+            running.register()
+            repeatUntil(target, endNs, answered, running)
+        }
+        running.arriveAndAwaitAdvance()
+        return answered.get() * NS_PER_S / (System.nanoTime() - startNs)
+    }
+
+    private fun repeatUntil(
+        target: Target,
+        endNs: Long,
+        answered: AtomicLong,
+        running: Phaser,
+    ) {
+        send(target).whenComplete { status, _ ->
+            if (status == HttpStatus.OK) answered.incrementAndGet()
+            if (System.nanoTime() < endNs) repeatUntil(target, endNs, answered, running) else running.arriveAndDeregister()
+        }
+    }
+
+    /** Returns the latencies at [perS] requests a second for [seconds], counted from when each was due. */
+    fun latencies(
+        throughServer: Boolean,
+        perS: Int,
+        seconds: Double,
+    ): Latencies {
+        val target = if (throughServer) via else direct
+        val histogram = ConcurrentHistogram(3)
+        val running = Phaser(1)
+        val count = (perS * seconds).toInt()
+        val failures = AtomicLong()
+        val startNs = System.nanoTime()
+        for (n in 0 until count) {
+            val dueNs = startNs + n * (NS_PER_S / perS).toLong()
+            awaitNs(dueNs)
+            running.register()
+            send(target).whenComplete { status, _ ->
+                histogram.recordValue(((System.nanoTime() - dueNs) / NS_PER_US).coerceAtLeast(0))
+                if (status != HttpStatus.OK) failures.incrementAndGet()
+                running.arriveAndDeregister()
+            }
+        }
+        running.arriveAndAwaitAdvance()
+        assertEquals(0, failures.get(), "failed requests")
+        return Latencies(histogram.getValueAtPercentile(50.0), histogram.getValueAtPercentile(99.0))
+    }
+
+    private fun awaitNs(dueNs: Long) {
+        while (true) {
+            val leftNs = dueNs - System.nanoTime()
+            if (leftNs <= 0) return
+            if (leftNs > PARK_ABOVE_NS) LockSupport.parkNanos(leftNs - PARK_ABOVE_NS) else Thread.onSpinWait()
+        }
+    }
+
+    private fun send(target: Target) =
+        target.client
+            .execute(HttpRequest.of(head(target.path), HttpData.wrap(BODY)))
+            .aggregate()
+            .thenApply { it.status() }
+
+    private fun head(path: String): RequestHeaders =
+        RequestHeaders
+            .builder(HttpMethod.POST, path)
+            .add(REQUEST_ID_HEADER, "b${ids.incrementAndGet()}")
+            .add("authorization", "Bearer $TEST_KEY")
+            .add(STAGE_HEADER, "s0")
+            .add(ATTEMPT_HEADER, "1")
+            .build()
+
+    override fun close() {
+        factory.closeAsync()
+        harness.close()
+    }
+
+    private companion object {
+        const val CONCURRENCY = 64
+        const val CLIENT_LOOPS = 4
+        const val NS_PER_S = 1e9
+        const val NS_PER_US = 1_000L
+        const val PARK_ABOVE_NS = 200_000L
+        val BODY = """{"text":"a left-hand hinge of 90 mm with a worn knuckle"}""".toByteArray()
+    }
+}
