Send direct calls and calls through the instance in turn

Cause: the two latencies were measured one after the other, so that other work of the machine hit one of them alone: added p99 came out between -27 and 27 ms on a busy machine, and the best round proved nothing.

Change: one open loop sends both in turn; the round in which direct calls were quickest is the one that is judged, whatever the instance did in it.

--- a/app/src/test/kotlin/io/monsoonpath/app/http/RequestPathBench.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RequestPathBench.kt
@@ -74,33 +74,37 @@
         }
     }
 
-    /** Returns the latencies at [perS] requests a second for [seconds], counted from when each was due. */
+    /**
+     * Sends [perS] requests a second for [seconds] each way, in turn, so that both meet the same disturbances.
+     *
+     * @return the latencies of direct calls and of calls through the server, counted from when each was due
+     */
     fun latencies(
-        throughServer: Boolean,
         perS: Int,
         seconds: Double,
-    ): Latencies {
-        val target = if (throughServer) via else direct
-        val histogram = ConcurrentHistogram(3)
+    ): Pair<Latencies, Latencies> {
+        val histograms = List(2) { ConcurrentHistogram(3) }
         val running = Phaser(1)
-        val count = (perS * seconds).toInt()
         val failures = AtomicLong()
         val startNs = System.nanoTime()
-        for (n in 0 until count) {
-            val dueNs = startNs + n * (NS_PER_S / perS).toLong()
+        for (n in 0 until (2 * perS * seconds).toInt()) {
+            val dueNs = startNs + n * (NS_PER_S / perS / 2).toLong()
             awaitNs(dueNs)
             running.register()
-            send(target).whenComplete { status, _ ->
-                histogram.recordValue(((System.nanoTime() - dueNs) / NS_PER_US).coerceAtLeast(0))
+            send(if (n % 2 == 0) direct else via).whenComplete { status, _ ->
+                histograms[n % 2].recordValue(((System.nanoTime() - dueNs) / NS_PER_US).coerceAtLeast(0))
                 if (status != HttpStatus.OK) failures.incrementAndGet()
                 running.arriveAndDeregister()
             }
         }
         running.arriveAndAwaitAdvance()
         assertEquals(0, failures.get(), "failed requests")
-        return Latencies(histogram.getValueAtPercentile(50.0), histogram.getValueAtPercentile(99.0))
+        return latenciesOf(histograms[0]) to latenciesOf(histograms[1])
     }
 
+    private fun latenciesOf(histogram: ConcurrentHistogram) =
+        Latencies(histogram.getValueAtPercentile(50.0), histogram.getValueAtPercentile(99.0))
+
     private fun awaitNs(dueNs: Long) {
         while (true) {
             val leftNs = dueNs - System.nanoTime()
--- a/app/src/test/kotlin/io/monsoonpath/app/http/RequestPathBenchTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RequestPathBenchTest.kt
@@ -7,8 +7,9 @@
  * Holds the request path to its target: at half of [TARGET_PER_S] at most 1 ms more than a direct call at the median and
  * 3 ms more at the 99th percentile, and [TARGET_PER_S] one-stage requests a second on four cores.
  *
- * The best of some rounds counts, because other work of the machine disturbs single ones. The property
- * `monsoonpath.bench.seconds` sets the length of each measurement.
+ * Other work of the machine disturbs single rounds, so throughput is the best of all rounds, and the latencies are those of
+ * the round in which direct calls were quickest. The property `monsoonpath.bench.seconds` sets the length of each
+ * measurement.
  */
 class RequestPathBenchTest {
     private val seconds = System.getProperty("monsoonpath.bench.seconds")?.toDouble() ?: 1.0
@@ -31,8 +32,9 @@
             rounds.forEach { print(it) }
             val cores = Runtime.getRuntime().availableProcessors().coerceAtMost(TARGET_CORES)
             val throughputRatio = rounds.maxOf { it.viaPerS } / (TARGET_PER_S * cores / TARGET_CORES)
-            val p50Ratio = rounds.minOf { it.addedP50Us } / ADDED_P50_US
-            val p99Ratio = rounds.minOf { it.addedP99Us } / ADDED_P99_US
+            val quietest = rounds.minBy { it.direct.p99Us }
+            val p50Ratio = quietest.addedP50Us / ADDED_P50_US
+            val p99Ratio = quietest.addedP99Us / ADDED_P99_US
             println(
                 "of the target: throughput %.2f (at least 1), p50 %.2f, p99 %.2f (at most 1)".format(throughputRatio, p50Ratio, p99Ratio),
             )
@@ -42,13 +44,12 @@
         }
     }
 
-    private fun round(bench: RequestPathBench) =
-        Round(
-            directPerS = bench.throughput(throughServer = false, seconds),
-            viaPerS = bench.throughput(throughServer = true, seconds),
-            direct = bench.latencies(throughServer = false, TARGET_PER_S / 2, seconds),
-            via = bench.latencies(throughServer = true, TARGET_PER_S / 2, seconds),
-        )
+    private fun round(bench: RequestPathBench): Round {
+        val directPerS = bench.throughput(throughServer = false, seconds)
+        val viaPerS = bench.throughput(throughServer = true, seconds)
+        val (direct, via) = bench.latencies(TARGET_PER_S / 2, seconds)
+        return Round(directPerS, viaPerS, direct, via)
+    }
 
     private fun print(round: Round) =
         println(
@@ -70,6 +71,6 @@
         const val TARGET_CORES = 4
         const val ADDED_P50_US = 1_000.0
         const val ADDED_P99_US = 3_000.0
-        const val ROUNDS = 3
+        const val ROUNDS = 5
     }
 }
