--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
@@ -1,6 +1,8 @@
 package io.monsoonpath.coordination
 
 import io.monsoonpath.coordination.message.PeerMessage
+import io.monsoonpath.coordination.units.LimitDecision
+import io.monsoonpath.coordination.units.LimitQuery
 import io.monsoonpath.model.Event
 import io.monsoonpath.model.InstanceId
 
@@ -24,6 +26,12 @@
         val outcome: PermitOutcome,
     ) : Effect
 
+    /** Hand [decision] to whoever waits for [query]. */
+    data class LimitDecided(
+        val query: LimitQuery,
+        val decision: LimitDecision,
+    ) : Effect
+
     /** Record [event] on the time line. */
     data class Emit(
         val event: Event,
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
@@ -101,8 +101,11 @@
     }
 
     private fun moveTo(before: CellList?) {
-        if (isWhole) older.clear()
-        if (before != null) older.add(before)
+        if (isWhole || hadNoPart(before)) older.clear()
+        if (before != null) {
+            if (hadNoPart(before)) wholeRevision = before.revision.value
+            older.add(before)
+        }
         wasWhole = isWhole && before != null
         isWhole = false
         isAnchored = false
@@ -114,11 +117,15 @@
         askIntervalMs = ASK_INTERVAL_MS
     }
 
+    /** Whether this process started under a list in which its id is home of nothing: what an earlier process had has moved on. */
+    private fun hadNoPart(before: CellList?) = isStarting && lapse == null && before != null && self.id !in before.liveIds()
+
     /** Re-evaluates and asks those that have not answered; call it every 50 ms or so. */
     fun onTick(nowMs: Long): List<Effect> {
         val standing = standing ?: return emptyList()
         older.expire(nowMs, standing, if (safeguards.takeoverWait) expiryMs() else 0)
         if (!standing.mayAcquire(nowMs)) return emptyList()
+        if (hadNoPart(standing.cell)) return emptyList()
         isAnchored = true
         evaluate(nowMs, standing)
         if (nowMs < nextAskMs) return emptyList()
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/HolderSafetyTest.kt
@@ -0,0 +1,157 @@
+package io.monsoonpath.coordination.holders
+
+import io.monsoonpath.coordination.permits.PermitLimits
+import io.monsoonpath.coordination.sim.Failing
+import io.monsoonpath.coordination.sim.Fault
+import io.monsoonpath.coordination.sim.SEEDS
+import io.monsoonpath.coordination.sim.SimNetwork
+import io.monsoonpath.coordination.sim.firstFailure
+import io.monsoonpath.coordination.sim.randomFaults
+import io.monsoonpath.coordination.sim.simMembers
+import io.monsoonpath.coordination.succession.HolderSafeguards
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.WorkspaceId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** At most once, cold starts, orders and the weight store's budget under random schedules of faults. */
+class HolderSafetyTest {
+    private val executions = AtomicLong()
+    private val duplicates = AtomicLong()
+    private val coldSends = AtomicLong()
+    private val orders = AtomicLong()
+    private val loads = AtomicLong()
+
+    private fun servers() =
+        listOf(
+            ServerModel(BackendId("b1"), PermitLimits(coldLoad = 2, fullLoad = 5), tellsRun = true),
+            ServerModel(BackendId("b2"), PermitLimits(coldLoad = 1, fullLoad = 12), tellsRun = false),
+            ServerModel(BackendId("b3"), PermitLimits(coldLoad = 1, fullLoad = 30), tellsRun = true),
+        )
+
+    private fun draw(seed: Long): List<Fault> =
+        randomFaults(
+            Random(seed),
+            INSTANCES,
+            LAST_FAULT_MS,
+            maxFaults = 10,
+            customs = listOf { Fault.Custom(0, "restart", it.nextLong(3)) },
+        )
+
+    private fun run(
+        seed: Long,
+        faults: List<Fault>,
+        safeguards: HolderSafeguards,
+        symptom: String,
+        endMs: Long = END_MS,
+    ): String? {
+        val servers = servers()
+        val limits = servers.associate { it.id to it.limits }
+        val initial = 1 + (seed % (INSTANCES - 1)).toInt()
+        val network = SimNetwork(seed, simMembers(INSTANCES), initial, faults) { holderProcess(it, limits, safeguards) }
+        val world = HolderWorld(network, servers, seed, symptom)
+        network.onCustom("restart") { servers[it.toInt()].restart() }
+        schedule(network, world, Random(seed * 7 + 1))
+        while (network.nowMs < endMs && world.problem == null) network.run(network.nowMs + 500)
+        executions.addAndGet(world.tally.executions.toLong())
+        duplicates.addAndGet(world.tally.duplicates.toLong())
+        coldSends.addAndGet(world.tally.coldSends.toLong())
+        orders.addAndGet(world.tally.orders.toLong())
+        loads.addAndGet(world.tally.loads.toLong())
+        return world.problem
+    }
+
+    private fun schedule(
+        network: SimNetwork,
+        world: HolderWorld,
+        random: Random,
+    ) {
+        repeat(REQUESTS) { i ->
+            val workspace = WorkspaceId("w${i % 2}")
+            val request = RequestId("r${i / 2}")
+            network.at(random.nextLong(END_MS)) { world.request(workspace, request, resends = 4) }
+        }
+        repeat(SENDS) { network.at(random.nextLong(END_MS)) { world.sendToServer(budgetMs = random.nextLong(200, 2_500)) } }
+        repeat(ORDERS) { network.at(random.nextLong(END_MS)) { world.order(random.nextInt(3)) } }
+        repeat(LOADS) { network.at(random.nextLong(END_MS)) { world.load() } }
+    }
+
+    /** Draws only what moves resources without a handover, so that a missing safeguard shows soon. */
+    private fun drawMoves(seed: Long): List<Fault> {
+        val random = Random(seed)
+        return List(MOVES) { random.nextLong(MOVES_FROM_MS, MOVES_END_MS) }.sorted().map { atMs ->
+            val instance = random.nextInt(INSTANCES)
+            when (random.nextInt(6)) {
+                0 -> Fault.Drop(atMs, instance)
+                1 -> Fault.Join(atMs, instance)
+                2, 3 -> Fault.Custom(atMs, "restart", random.nextLong(3))
+                else -> Fault.Death(atMs, instance, random.nextLong(5, 500))
+            }
+        }
+    }
+
+    @Test
+    fun `no schedule runs a request twice, overloads a cold server or crosses orders`() {
+        val failing = firstFailure(1..SEEDS, ::draw) { seed, faults -> run(seed, faults, HolderSafeguards(), symptom = "") }
+        assertEquals(null, failing?.toString())
+        println("executions $executions, duplicates $duplicates, cold sends $coldSends, orders $orders, loads $loads")
+        assertTrue(executions.get() > SEEDS && duplicates.get() > SEEDS && coldSends.get() > SEEDS && orders.get() > SEEDS)
+        assertTrue(loads.get() > SEEDS)
+    }
+
+    private class Mutation(
+        val name: String,
+        val safeguards: HolderSafeguards,
+        val symptom: String,
+    )
+
+    private val mutations =
+        listOf(
+            Mutation("claims with one home", HolderSafeguards(claimQuorum = false), TWICE),
+            Mutation("a restarted process grants claims at once", HolderSafeguards(restartAbstains = false), TWICE),
+            Mutation("a restarted process grants permits at once", HolderSafeguards(restartAbstains = false), OVERLOAD),
+            Mutation("no takeover wait for claims", HolderSafeguards(takeoverWait = false), TWICE),
+            Mutation("no takeover wait for permits", HolderSafeguards(takeoverWait = false), OVERLOAD),
+            Mutation("no takeover wait for orders", HolderSafeguards(takeoverWait = false), "is given orders by"),
+            Mutation("no takeover wait for the weight store", HolderSafeguards(takeoverWait = false), "the weight store"),
+            Mutation("the fencing counter is reset", HolderSafeguards(fencingRises = false), "after 0"),
+            Mutation("a permit is released on time-out", HolderSafeguards(permitOutlivesTimeout = false), OVERLOAD),
+        )
+
+    @TestFactory
+    fun `each safeguard is needed`(): List<DynamicTest> =
+        mutations.map { mutation ->
+            dynamicTest(mutation.name) {
+                val failing: Failing? =
+                    firstFailure(
+                        1..MUTATION_SEEDS,
+                        ::drawMoves,
+                    ) { seed, faults -> run(seed, faults, mutation.safeguards, mutation.symptom, MOVES_END_MS) }
+                println("${mutation.name}: " + assertNotNull(failing))
+            }
+        }
+
+    private companion object {
+        const val TWICE = "was started again"
+        const val OVERLOAD = "requests and bears"
+        const val INSTANCES = 6
+        const val LAST_FAULT_MS = 22_000L
+        const val MOVES = 12
+        const val MOVES_FROM_MS = 8_000L
+        const val MOVES_END_MS = 18_000L
+        const val END_MS = 26_000L
+        const val REQUESTS = 120
+        const val SENDS = 900
+        const val ORDERS = 60
+        const val LOADS = 60
+        const val MUTATION_SEEDS = 2_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/HolderWorld.kt
@@ -0,0 +1,320 @@
+package io.monsoonpath.coordination.holders
+
+import io.monsoonpath.coordination.ClaimOutcome
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.PermitOutcome
+import io.monsoonpath.coordination.message.ClaimPhase
+import io.monsoonpath.coordination.message.RunId
+import io.monsoonpath.coordination.orders.Fence
+import io.monsoonpath.coordination.orders.OrderDecision
+import io.monsoonpath.coordination.permits.PermitLimits
+import io.monsoonpath.coordination.sim.SimNetwork
+import io.monsoonpath.coordination.sim.SimNode
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.WorkspaceId
+import kotlin.random.Random
+
+/** A backend server that knows what it bears: its run starts cold and warms up with each completion. */
+internal class ServerModel(
+    val id: BackendId,
+    val limits: PermitLimits,
+    val tellsRun: Boolean,
+) {
+    var run = 1
+        private set
+    val running = HashSet<Long>()
+    private var completions = 0
+    val accepted = ArrayList<Fence>()
+    var orderBy: Pair<SimNode, Long>? = null
+
+    val bears: Int get() = limits.loadAfter(completions)
+
+    fun restart() {
+        run++
+        running.clear()
+        completions = 0
+    }
+
+    fun complete(request: Long): Boolean = running.remove(request).also { if (it) completions++ }
+}
+
+/** What the observer counts. */
+internal class Tally {
+    var claimsGranted = 0
+    var duplicates = 0
+    var executions = 0
+    var sends = 0
+    var coldSends = 0
+    var loads = 0
+    var orders = 0
+    var refusedClaims = 0
+    var refusedPermits = 0
+    val refusals = sortedMapOf<String, Int>()
+}
+
+/** Callers, backend servers and a weight store around the instances; it sees all and notes the first breach. */
+internal class HolderWorld(
+    private val network: SimNetwork,
+    val servers: List<ServerModel>,
+    seed: Long,
+    private val symptom: String = "",
+    private val ttlMs: Long = CLAIM_TIMING.ttlMs,
+    private val isInService: (SimNode) -> Boolean = { true },
+) {
+    private class Connection(
+        val run: Int,
+        val name: RunId,
+    )
+
+    private val random = Random(seed)
+    private val lastStartMs = HashMap<Pair<WorkspaceId, RequestId>, Long>()
+    private val connections = HashMap<Pair<Any, BackendId>, Connection>()
+    private val loadsRunning = HashSet<Long>()
+    private val loadStartsMs = ArrayList<Long>()
+    private var nextRequest = 1L
+    val tally = Tally()
+
+    /** The first breach of those that the test looks for. */
+    var problem: String? = null
+        private set
+
+    private fun breach(text: String) {
+        if (problem == null && symptom in text) problem = "$text at ${network.nowMs} ms"
+    }
+
+    private fun after(
+        delayMs: Long,
+        node: SimNode,
+        holders: Holders,
+        action: () -> Unit,
+    ) {
+        network.at(network.nowMs + delayMs) { whenRunning(node, holders, action) }
+    }
+
+    private fun whenRunning(
+        node: SimNode,
+        holders: Holders,
+        action: () -> Unit,
+    ) {
+        if (!node.isUp || node.self != holders.self) return
+        if (!node.isRunning) {
+            network.at(node.pausedUntilMs) { whenRunning(node, holders, action) }
+        } else {
+            action()
+        }
+    }
+
+    private fun SimNode.holders() = component<Holders>()
+
+    private fun SimNode.run(effects: List<Effect>) = apply(holders().route(effects))
+
+    private fun aNode(): SimNode? = network.nodes.filter { it.isRunning && isInService(it) }.randomOrNull(random)
+
+    /** Lets a caller send a request id now and again within its time-to-live, each time through any instance. */
+    fun request(
+        workspace: WorkspaceId,
+        request: RequestId,
+        resends: Int,
+    ) {
+        val startMs = network.nowMs
+        claimAndRun(workspace, request)
+        repeat(resends) { network.at(startMs + random.nextLong(ttlMs)) { claimAndRun(workspace, request) } }
+    }
+
+    private fun claimAndRun(
+        workspace: WorkspaceId,
+        request: RequestId,
+    ) {
+        val node = aNode() ?: return
+        val holders = node.holders()
+        val token = holders.nextToken++
+        holders.onDecided(token) { effect ->
+            when (val outcome = (effect as Effect.ClaimDecided).outcome) {
+                is ClaimOutcome.Granted ->
+                    after(
+                        random.nextLong(200),
+                        node,
+                        holders,
+                    ) { execute(node, holders, token, workspace to request) }
+                is ClaimOutcome.Duplicate -> tally.duplicates++
+                is ClaimOutcome.Refused -> tally.refusedClaims++.also { tally.refusals.merge("claim ${outcome.reason}", 1, Int::plus) }
+            }
+        }
+        node.run(holders.claims.claim(node.nowMs, token, workspace, request, budgetMs = 450))
+    }
+
+    private fun execute(
+        node: SimNode,
+        holders: Holders,
+        token: Long,
+        key: Pair<WorkspaceId, RequestId>,
+    ) {
+        tally.claimsGranted++
+        if (!holders.claims.mayUse(node.nowMs, token)) {
+            node.run(holders.claims.release(node.nowMs, token))
+            return
+        }
+        val lastMs = lastStartMs.put(key, network.nowMs)
+        if (lastMs != null && network.nowMs - lastMs < ttlMs) breach("request $key was started again after ${network.nowMs - lastMs} ms")
+        tally.executions++
+        val phase = if (random.nextInt(4) == 0) ClaimPhase.UNKNOWN else ClaimPhase.FINISHED
+        after(random.nextLong(800), node, holders) { node.run(holders.claims.finish(node.nowMs, token, phase, "200")) }
+    }
+
+    /** Lets an instance send a request to a backend server, if it may. */
+    fun sendToServer(budgetMs: Long) {
+        val node = aNode() ?: return
+        val server = servers.random(random)
+        val holders = node.holders()
+        val connection = connect(node, server)
+        if (holders.permits.isWarm(server.id, connection.name)) return deliverWarm(node, holders, server, connection)
+        val token = holders.nextToken++
+        val askedMs = network.nowMs
+        holders.onDecided(token) { effect ->
+            when (val outcome = (effect as Effect.PermitDecided).outcome) {
+                is PermitOutcome.Granted ->
+                    after(random.nextLong(100), node, holders) { sendCold(node, holders, server, connection, token, askedMs + budgetMs) }
+                is PermitOutcome.Warm -> Unit
+                is PermitOutcome.Refused -> tally.refusedPermits++.also { tally.refusals.merge("permit ${outcome.reason}", 1, Int::plus) }
+            }
+        }
+        node.run(holders.permits.acquire(node.nowMs, token, server.id, connection.name, budgetMs, waitMs = random.nextLong(200)))
+    }
+
+    private fun connect(
+        node: SimNode,
+        server: ServerModel,
+    ): Connection =
+        connections.getOrPut(node.self to server.id) {
+            Connection(server.run, RunId(if (server.tellsRun) "run${server.run}" else "${node.self}/${nextRequest++}"))
+        }
+
+    /** Returns whether the connection leads to a run that has ended; then the instance connects again and knows. */
+    private fun isBroken(
+        node: SimNode,
+        holders: Holders,
+        server: ServerModel,
+        connection: Connection,
+    ): Boolean {
+        if (connection.run == server.run) return false
+        connections.remove(node.self to server.id, connection)
+        node.run(holders.permits.onCold(server.id, connect(node, server).name))
+        return true
+    }
+
+    private fun deliverWarm(
+        node: SimNode,
+        holders: Holders,
+        server: ServerModel,
+        connection: Connection,
+    ) {
+        if (isBroken(node, holders, server, connection)) return
+        tally.sends++
+        if (server.bears < server.limits.fullLoad) breach("${server.id} was sent a request as warm, but bears ${server.bears}")
+    }
+
+    private fun sendCold(
+        node: SimNode,
+        holders: Holders,
+        server: ServerModel,
+        connection: Connection,
+        token: Long,
+        deadlineMs: Long,
+    ) {
+        val nowName = connections[node.self to server.id]?.name ?: connection.name
+        val maySend = holders.permits.mayUse(node.nowMs, token, nowName)
+        if (!maySend || isBroken(node, holders, server, connection)) {
+            node.run(holders.permits.finish(node.nowMs, token, isCompleted = false))
+            return
+        }
+        val request = nextRequest++
+        server.running += request
+        tally.sends++
+        if (server.bears < server.limits.fullLoad) tally.coldSends++
+        if (server.running.size > server.bears) breach("${server.id} runs ${server.running.size} requests and bears ${server.bears}")
+        val endMs = if (random.nextInt(5) == 0) deadlineMs + END_AFTER_DEADLINE_MS else network.nowMs + random.nextLong(20, 150)
+        val run = server.run
+        network.at(minOf(endMs, deadlineMs + END_AFTER_DEADLINE_MS)) {
+            if (server.run != run || !server.complete(request)) return@at
+            if (network.nowMs < deadlineMs) {
+                whenRunning(node, holders) { node.run(holders.permits.finish(node.nowMs, token, isCompleted = true)) }
+            }
+        }
+        network.at(deadlineMs) { whenRunning(node, holders) { node.run(holders.permits.abandon(node.nowMs, token)) } }
+    }
+
+    /** Lets an instance order a load, if it may and if the weight store has room. */
+    fun order(serverIndex: Int) {
+        val server = servers[serverIndex]
+        for (node in network.nodes.filter { it.isRunning }) {
+            val holders = node.holders()
+            val key = "load ${nextRequest++}"
+            val decision = holders.orders.order(node.nowMs, server.id, key)
+            if (decision is OrderDecision.Issue) deliverOrder(node, holders, server, decision.fence)
+        }
+    }
+
+    private fun deliverOrder(
+        node: SimNode,
+        holders: Holders,
+        server: ServerModel,
+        fence: Fence,
+    ) {
+        val other = server.orderBy
+        if (other != null && other.first !== node && network.nowMs < other.second) {
+            breach("${server.id} is given orders by ${other.first.id} and ${node.id}")
+        }
+        val arrivesMs = network.nowMs + random.nextLong(1, ORDER_MS * 9 / 10)
+        server.orderBy = node to arrivesMs
+        network.at(arrivesMs) {
+            val last = server.accepted.lastOrNull()
+            if (last != null && fence <= last) breach("${server.id} got $fence of ${node.id} after $last")
+            server.accepted += fence
+            tally.orders++
+            if (random.nextInt(4) != 0) whenRunning(node, holders) { holders.orders.finish(server.id, fence) }
+        }
+    }
+
+    /** Lets an instance load weights, if the store's budget allows. */
+    fun load() {
+        val node = aNode() ?: return
+        val holders = node.holders()
+        val token = holders.nextToken++
+        val run = RunId("store")
+        val askedMs = network.nowMs
+        holders.onDecided(token) { effect ->
+            if ((effect as Effect.PermitDecided).outcome is PermitOutcome.Granted) {
+                after(random.nextLong(200), node, holders) { startLoad(node, holders, token, askedMs) }
+            }
+        }
+        node.run(holders.loads.acquire(node.nowMs, token, STORE, run, budgetMs = 700, waitMs = random.nextLong(300)))
+    }
+
+    private fun startLoad(
+        node: SimNode,
+        holders: Holders,
+        token: Long,
+        askedMs: Long,
+    ) {
+        if (!holders.loads.mayUse(node.nowMs, token, RunId("store"))) {
+            node.run(holders.loads.finish(node.nowMs, token, isCompleted = false))
+            return
+        }
+        val id = nextRequest++
+        loadsRunning += id
+        loadStartsMs += network.nowMs
+        tally.loads++
+        val recent = loadStartsMs.count { it > network.nowMs - LOAD_TIMING.startWindowMs }
+        if (recent > checkNotNull(STORE_LIMITS.startsPerWindow)) breach("the weight store saw $recent starts in its window")
+        if (loadsRunning.size > STORE_LIMITS.fullLoad) breach("the weight store runs ${loadsRunning.size} loads")
+        network.at(minOf(network.nowMs + random.nextLong(50, 900), askedMs + 890)) {
+            loadsRunning -= id
+            whenRunning(node, holders) { node.run(holders.loads.finish(node.nowMs, token, isCompleted = true)) }
+        }
+    }
+
+    private companion object {
+        const val END_AFTER_DEADLINE_MS = 190L
+    }
+}
