--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
@@ -21,23 +21,24 @@
     var own = 1
         private set
 
-    /** Notes [generation] of [peer] if it is above all before; returns the lowest that the peer may use. */
+    /** Notes [generation] of [peer], or the next one if that was another process's; returns the noted number. */
     fun register(
         peer: PeerId,
         generation: Int,
     ): Int {
         val last = known[peer.id]
         val least = if (last == null || last.incarnation == peer.incarnation) last?.generation ?: 0 else last.generation + 1
-        if (generation >= least) known[peer.id] = Known(peer.incarnation, generation)
-        return maxOf(least, generation)
+        val noted = maxOf(least, generation)
+        known[peer.id] = Known(peer.incarnation, noted)
+        return noted
     }
 
     fun onAnswer(
         from: PeerId,
-        least: Int,
+        noted: Int,
     ) {
-        own = maxOf(own, least)
-        confirming[from.id] = least
+        own = maxOf(own, noted)
+        confirming[from.id] = noted
     }
 
     /** Returns the own number once a majority of [cell] has noted it. */
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/HolderLivenessTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/HolderLivenessTest.kt
@@ -74,8 +74,14 @@
             val leftMs = case.faults.first { it is Fault.Leave && it.instance == i }.atMs + HANDOVER_MS
             network.at(leftMs) { assertTrue(network.nodes[i].component<Holders>().isHandedOver, "e$i has not handed over") }
         }
+        network.run(endMs)
+        val ordersBefore = servers.map { it.accepted.size }
+        servers.indices.forEach { i -> network.at(endMs) { world.order(i) } }
+        network.at(endMs) { world.load() }
         network.run(endMs + 2_000)
         assertEquals(null, world.problem)
+        assertEquals(ordersBefore.map { it + 1 }, servers.map { it.accepted.size }, "orders accepted of each server")
+        assertEquals(1, world.tally.loads, "loads")
         assertTrue(world.tally.executions > 100 && world.tally.sends > 100)
         assertEquals(emptyMap<String, Int>(), world.tally.refusals.toMap())
     }
