--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -100,8 +100,8 @@
             when (effect) {
                 is Effect.Send -> transport.send(effect.to, effect.message)
                 is Effect.Emit -> events.emit(effect.event)
-                // Membership decides no limits, claims and permits.
-                is Effect.LimitDecided, is Effect.ClaimDecided, is Effect.PermitDecided -> Unit
+                // Membership decides no claims, permits and limits.
+                is Effect.ClaimDecided, is Effect.PermitDecided, is Effect.LimitDecided -> Unit
             }
         }
 
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/Effect.kt
@@ -14,6 +14,12 @@
         val message: PeerMessage,
     ) : Effect
 
+    /** Hand [decision] to whoever waits for [query]. */
+    data class LimitDecided(
+        val query: LimitQuery,
+        val decision: LimitDecision,
+    ) : Effect
+
     /** Hand the outcome of the claim [token] to whoever asked for it. */
     data class ClaimDecided(
         val token: Long,
@@ -26,12 +32,6 @@
         val outcome: PermitOutcome,
     ) : Effect
 
-    /** Hand [decision] to whoever waits for [query]. */
-    data class LimitDecided(
-        val query: LimitQuery,
-        val decision: LimitDecision,
-    ) : Effect
-
     /** Record [event] on the time line. */
     data class Emit(
         val event: Event,
