--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
@@ -41,12 +41,23 @@
         confirming[from.id] = noted
     }
 
-    /** Returns the own number once a majority of [cell] has noted it. */
-    fun confirmed(cell: CellList): Int? = own.takeIf { 1 + cell.members.count { isConfirmedBy(it.id) } >= cell.confirmQuorum }
+    /** Forgets who noted the own number, because a new list may have members that did not. */
+    fun startConfirming() = confirming.clear()
+
+    /**
+     * Returns the own number once a majority of the other live members of [cell] has noted it.
+     *
+     * The own process is not counted: the next one of its id will not remember.
+     */
+    fun confirmed(cell: CellList): Int? {
+        val others = cell.liveIds() - self.id
+        val needed = if (others.isEmpty()) 0 else others.size / 2 + 1
+        return own.takeIf { others.count(::isConfirmedBy) >= needed }
+    }
 
     /** Returns the members of [cell] to ask until a majority has noted the own number. */
     fun unconfirmed(cell: CellList): List<InstanceId> =
-        if (confirmed(cell) != null) emptyList() else cell.members.map { it.id }.filter { it != self.id && !isConfirmedBy(it) }
+        if (confirmed(cell) != null) emptyList() else (cell.liveIds() - self.id).filterNot(::isConfirmedBy)
 
     private fun isConfirmedBy(id: InstanceId) = confirming[id] == own
 }
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
@@ -110,6 +110,7 @@
         isWhole = false
         isAnchored = false
         lapse = null
+        generations.startConfirming()
         inbox.clear()
         askers.clear()
         predecessors = older.cells
@@ -129,12 +130,16 @@
         isAnchored = true
         evaluate(nowMs, standing)
         if (nowMs < nextAskMs) return emptyList()
-        val missing = if (isWhole) generations.unconfirmed(standing.cell) else targets(standing) - inbox.complete
+        val missing = if (isWhole) unconfirmed(standing.cell) else targets(standing) - inbox.complete
         nextAskMs = nowMs + askIntervalMs
         askIntervalMs = (askIntervalMs * 2).coerceAtMost(MAX_ASK_INTERVAL_MS)
         return missing.map { Effect.Send(it, HandoverAsk(kind, standing.revision.value, isStarting, generations.own)) }
     }
 
+    /** Only orders carry the generation. */
+    private fun unconfirmed(cell: CellList): Collection<InstanceId> =
+        if (kind == HandoverKind.ORDERS) generations.unconfirmed(cell) else emptyList()
+
     private fun evaluate(
         nowMs: Long,
         standing: Standing,
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/GenerationsTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/holders/GenerationsTest.kt
@@ -23,8 +23,8 @@
     fun `each process of an id gets a higher number`(): List<DynamicTest> =
         listOf(
             2 to List(4) { listOf(1) },
-            3 to listOf(listOf(1), listOf(1), listOf(1, 2), listOf(2)),
-            5 to listOf(listOf(1, 2), listOf(2, 3), listOf(3, 4), listOf(4, 1)),
+            3 to List(4) { listOf(1, 2) },
+            5 to listOf(listOf(1, 2, 3), listOf(2, 3, 4), listOf(3, 4, 1), listOf(4, 1, 2)),
         ).map { (members, notedBy) -> dynamicTest("$members members, noted by $notedBy") { check(members, notedBy) } }
 
     private fun check(
