--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Generations.kt
@@ -21,31 +21,43 @@
     var own = 1
         private set
 
-    /** Notes [generation] of [peer] if it is above all before; returns the lowest that the peer may use. */
+    /** Notes [generation] of [peer], or the next one if that was another process's; returns the noted number. */
     fun register(
         peer: PeerId,
         generation: Int,
     ): Int {
         val last = known[peer.id]
         val least = if (last == null || last.incarnation == peer.incarnation) last?.generation ?: 0 else last.generation + 1
-        if (generation >= least) known[peer.id] = Known(peer.incarnation, generation)
-        return maxOf(least, generation)
+        val noted = maxOf(least, generation)
+        known[peer.id] = Known(peer.incarnation, noted)
+        return noted
     }
 
     fun onAnswer(
         from: PeerId,
-        least: Int,
+        noted: Int,
     ) {
-        own = maxOf(own, least)
-        confirming[from.id] = least
+        own = maxOf(own, noted)
+        confirming[from.id] = noted
     }
 
-    /** Returns the own number once a majority of [cell] has noted it. */
-    fun confirmed(cell: CellList): Int? = own.takeIf { 1 + cell.members.count { isConfirmedBy(it.id) } >= cell.confirmQuorum }
+    /** Forgets who noted the own number, because a new list may have members that did not. */
+    fun startConfirming() = confirming.clear()
+
+    /**
+     * Returns the own number once a majority of the other live members of [cell] has noted it.
+     *
+     * The own process is not counted: the next one of its id will not remember.
+     */
+    fun confirmed(cell: CellList): Int? {
+        val others = cell.liveIds() - self.id
+        val needed = if (others.isEmpty()) 0 else others.size / 2 + 1
+        return own.takeIf { others.count(::isConfirmedBy) >= needed }
+    }
 
     /** Returns the members of [cell] to ask until a majority has noted the own number. */
     fun unconfirmed(cell: CellList): List<InstanceId> =
-        if (confirmed(cell) != null) emptyList() else cell.members.map { it.id }.filter { it != self.id && !isConfirmedBy(it) }
+        if (confirmed(cell) != null) emptyList() else (cell.liveIds() - self.id).filterNot(::isConfirmedBy)
 
     private fun isConfirmedBy(id: InstanceId) = confirming[id] == own
 }
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/succession/Succession.kt
@@ -101,12 +101,16 @@
     }
 
     private fun moveTo(before: CellList?) {
-        if (isWhole) older.clear()
-        if (before != null) older.add(before)
+        if (isWhole || hadNoPart(before)) older.clear()
+        if (before != null) {
+            if (hadNoPart(before)) wholeRevision = before.revision.value
+            older.add(before)
+        }
         wasWhole = isWhole && before != null
         isWhole = false
         isAnchored = false
         lapse = null
+        generations.startConfirming()
         inbox.clear()
         askers.clear()
         predecessors = older.cells
@@ -114,20 +118,28 @@
         askIntervalMs = ASK_INTERVAL_MS
     }
 
+    /** Whether this process started under a list in which its id is home of nothing: what an earlier process had has moved on. */
+    private fun hadNoPart(before: CellList?) = isStarting && lapse == null && before != null && self.id !in before.liveIds()
+
     /** Re-evaluates and asks those that have not answered; call it every 50 ms or so. */
     fun onTick(nowMs: Long): List<Effect> {
         val standing = standing ?: return emptyList()
         older.expire(nowMs, standing, if (safeguards.takeoverWait) expiryMs() else 0)
         if (!standing.mayAcquire(nowMs)) return emptyList()
+        if (hadNoPart(standing.cell)) return emptyList()
         isAnchored = true
         evaluate(nowMs, standing)
         if (nowMs < nextAskMs) return emptyList()
-        val missing = if (isWhole) generations.unconfirmed(standing.cell) else targets(standing) - inbox.complete
+        val missing = if (isWhole) unconfirmed(standing.cell) else targets(standing) - inbox.complete
         nextAskMs = nowMs + askIntervalMs
         askIntervalMs = (askIntervalMs * 2).coerceAtMost(MAX_ASK_INTERVAL_MS)
         return missing.map { Effect.Send(it, HandoverAsk(kind, standing.revision.value, isStarting, generations.own)) }
     }
 
+    /** Only orders carry the generation. */
+    private fun unconfirmed(cell: CellList): Collection<InstanceId> =
+        if (kind == HandoverKind.ORDERS) generations.unconfirmed(cell) else emptyList()
+
     private fun evaluate(
         nowMs: Long,
         standing: Standing,
