Retry a limit query after others returned parts of tokens

A whole burst at one instance lost its last request: queries that end with answers outstanding return tokens a moment later, and the last one took the units for empty. It now counts as contention.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/units/LimitQueries.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/LimitQueries.kt
@@ -163,6 +163,7 @@
         val charge = asking.query.charge
         val effects = ArrayList<Effect>()
         refundExcess(charge)?.let { effects += it }
+        if (effects.isNotEmpty() || asking.query.outstanding.isNotEmpty()) asking.workspace.returnedAtMs = nowMs
         close(nowMs, asking)
         effects += Effect.LimitDecided(asking.query, LimitDecision.Admitted(charge))
         return effects
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/units/WorkspaceLimit.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/WorkspaceLimit.kt
@@ -26,7 +26,7 @@
     @Volatile
     var emptyUntilMs = Long.MIN_VALUE
 
-    /** When a request that found too little last gave back what it had. */
+    /** When a request last gave back what it had or had too much of, on the own clock. */
     var returnedAtMs = Long.MIN_VALUE / 2
 
     /** The limit of each unit, by region; regions without a share are left out. */
