Count returned tokens in a refusal's wait, and compare with three baselines

The wait for the next token left out what the query returned, so a refusal was kept for too long. Baselines under the same requests: static 1/N, a single home, and the sliding window kept per instance.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/units/LimitQueries.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/LimitQueries.kt
@@ -259,8 +259,9 @@
     ): Long {
         val workspace = asking.workspace
         val available =
-            asking.query.answers.values
-                .sumOf { it.left } + workspace.held.buckets.sumOf { it?.level(nowMs) ?: 0 }
+            returned +
+                asking.query.answers.values
+                    .sumOf { it.left } + workspace.held.buckets.sumOf { it?.level(nowMs) ?: 0 }
         return ((TOKEN - available).coerceAtLeast(0) / workspace.totalRatePerMs.coerceAtLeast(1)).coerceAtLeast(1)
     }
 
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/units/UnitHolder.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/UnitHolder.kt
@@ -68,20 +68,25 @@
         val before = standing
         standing = next
         val isLapsed = before != null && before.rightEpoch != next.rightEpoch
-        val isListed = before == null || before.revision != next.revision
-        val isChanged = isListed || before?.unsettled != next.unsettled || isLapsed
+        val isListed = before?.revision != next.revision
+        val isChanged = isLapsed || isListed || before?.unsettled != next.unsettled
         if (isLapsed) workspaces.forEach { drop(nowMs, it) }
         if (isListed) workspaces.forEach { rehome(it, next.cell) }
         if (isListed || isLapsed) forgetHandovers()
-        if (isChanged) {
-            workspaces.forEach { limitUse(nowMs, it, next) }
-            findMissing(next)
-        }
+        if (isChanged) reconsider(nowMs, next)
         acquire(nowMs, next)
-        if (isChanged) requestedAtMs = NEVER_MS
         return (if (isChanged) answerWaiting(nowMs, next) else emptyList()) + requestHandovers(nowMs, next)
     }
 
+    private fun reconsider(
+        nowMs: Long,
+        now: Standing,
+    ) {
+        workspaces.forEach { limitUse(nowMs, it, now) }
+        findMissing(now)
+        requestedAtMs = NEVER_MS
+    }
+
     /** Takes up workspaces that a configuration brought. */
     fun onWorkspacesChanged(nowMs: Long) {
         val now = standing ?: return
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitBaselines.kt
@@ -0,0 +1,137 @@
+package io.monsoonpath.coordination.units
+
+import io.monsoonpath.coordination.membership.CellList
+import io.monsoonpath.coordination.membership.resourceOf
+import io.monsoonpath.coordination.sim.SimNetwork
+import io.monsoonpath.coordination.sim.SimNode
+import io.monsoonpath.model.InstanceId
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+
+/** Another way to keep a limit, that sees the same requests; it needs no messages of its own here. */
+internal sealed class Baseline(
+    val name: String,
+) {
+    /** Returns whether a request of [workspace] that arrives at [node] is admitted. */
+    abstract fun admits(
+        network: SimNetwork,
+        node: SimNode,
+        workspace: WorkspaceSpec,
+    ): Boolean
+
+    /** Each instance has a fixed part of rate and burst, at least one token of burst. */
+    class StaticSplit(
+        private val instances: Int,
+    ) : Baseline("static 1/N") {
+        private val buckets = HashMap<Pair<InstanceId, WorkspaceId>, UnitBucket>()
+
+        override fun admits(
+            network: SimNetwork,
+            node: SimNode,
+            workspace: WorkspaceSpec,
+        ): Boolean {
+            val whole = workspace.wholeLimit()
+            val part = UnitLimit(whole.ratePerMs / instances, maxOf(whole.capacity / instances, TOKEN))
+            return buckets.getOrPut(node.id to workspace.id) { UnitBucket(part, part.capacity, network.nowMs) }.takesToken(network.nowMs)
+        }
+    }
+
+    /** One home by the newest list holds the whole limit; a new home starts with a full bucket. */
+    class SingleHome : Baseline("single home") {
+        private val buckets = HashMap<Pair<InstanceId, WorkspaceId>, UnitBucket>()
+
+        override fun admits(
+            network: SimNetwork,
+            node: SimNode,
+            workspace: WorkspaceSpec,
+        ): Boolean {
+            val list = network.platform.newest
+            val home = checkNotNull(CellList(list.revision, list.members).homeOf(resourceOf("workspace", workspace.id.value)))
+            if (!network.nodeOf(home).isRunning) return false
+            val whole = workspace.wholeLimit()
+            return buckets.getOrPut(home to workspace.id) { UnitBucket(whole, whole.capacity, network.nowMs) }.takesToken(network.nowMs)
+        }
+    }
+
+    /**
+     * The two-bucket weighted sliding window of "Rate Limits & Concurrency (Graine v2 API)", section "The sliding window", kept by each
+     * instance; the instances tell each other their counts every second.
+     */
+    class SlidingWindow : Baseline("sliding window") {
+        private val counts = HashMap<Pair<InstanceId, WorkspaceId>, HashMap<Long, Int>>()
+        private val told = HashMap<Pair<InstanceId, WorkspaceId>, Map<Long, Int>>()
+        private var toldSecond = -1L
+
+        override fun admits(
+            network: SimNetwork,
+            node: SimNode,
+            workspace: WorkspaceSpec,
+        ): Boolean {
+            tell(network.nowMs)
+            val window = network.nowMs / WINDOW_MS
+            val weight = (WINDOW_MS - network.nowMs % WINDOW_MS).toDouble() / WINDOW_MS
+            val own = counts.getOrPut(node.id to workspace.id) { HashMap() }
+            val others = told.filterKeys { it.second == workspace.id && it.first != node.id }.values
+            val seen = others + own
+            val estimated = seen.sumOf { it[window - 1] ?: 0 } * weight + seen.sumOf { it[window] ?: 0 }
+            val isAllowed = estimated + 1 <= workspace.rateMilliPerS * WINDOW_MS / 1_000_000.0
+            if (isAllowed) own.merge(window, 1, Int::plus)
+            return isAllowed
+        }
+
+        private fun tell(nowMs: Long) {
+            if (nowMs / 1_000 == toldSecond) return
+            toldSecond = nowMs / 1_000
+            counts.forEach { (key, value) -> told[key] = HashMap(value) }
+        }
+
+        private companion object {
+            const val WINDOW_MS = 60_000L
+        }
+    }
+}
+
+/** Counts what a baseline makes of the requests, and by how many tokens it passes burst + rate times window. */
+internal class BaselineTally(
+    private val baseline: Baseline,
+    private val network: SimNetwork,
+) {
+    private class Levels(
+        var level: Long,
+        var atMs: Long,
+        var lowest: Long = 0,
+        var admitted: Int = 0,
+        var refused: Int = 0,
+    )
+
+    private val levels = HashMap<WorkspaceId, Levels>()
+
+    fun arrive(
+        node: SimNode,
+        workspace: WorkspaceSpec,
+    ) {
+        val whole = workspace.wholeLimit()
+        val tally = levels.getOrPut(workspace.id) { Levels(whole.capacity, network.nowMs) }
+        if (!baseline.admits(network, node, workspace)) {
+            tally.refused++
+            return
+        }
+        tally.admitted++
+        tally.level = minOf(whole.capacity, tally.level + (network.nowMs - tally.atMs) * whole.ratePerMs) - TOKEN
+        tally.atMs = network.nowMs
+        tally.lowest = minOf(tally.lowest, tally.level)
+    }
+
+    val refusedPercent: Double get() = 100.0 * levels.values.sumOf { it.refused } / levels.values.sumOf { it.refused + it.admitted }
+    val worstPercent: Double get() = levels.values.maxOf { 100.0 * it.refused / (it.refused + it.admitted) }
+
+    /** The tokens above the limit of the workspace that passes it by most. */
+    fun excessTokens(): Long = levels.values.maxOf { -it.lowest.floorDiv(TOKEN) }
+}
+
+private fun WorkspaceSpec.wholeLimit() = UnitLimit(rateMilliPerS * TOKEN / 1_000_000, burst * TOKEN)
+
+private fun UnitBucket.takesToken(nowMs: Long): Boolean {
+    if (level(nowMs) < TOKEN) return false
+    return take(nowMs, TOKEN) != null
+}
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitMeasures.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitMeasures.kt
@@ -64,6 +64,7 @@
     scenario: Scenario,
     loadPercent: Int,
     rightMs: Long,
+    watch: (LimitSimulation) -> Unit = {},
 ): Pair<LimitSimulation, Traffic> {
     val traffic = Traffic()
     val random = Random(11)
@@ -78,6 +79,7 @@
             MembershipTiming(rightMs = rightMs),
             onSent = { _, _, message -> traffic.count(message) },
         )
+    watch(simulation)
     simulation.load(FILLED_MS, scenario.untilMs, loadPercent) { scenario.pick(simulation, random) }
     simulation.network.at(FILLED_MS) { traffic.isCounting = true }
     val problem = simulation.run(scenario.untilMs + 1_000)
@@ -130,6 +132,29 @@
     )
 }
 
+private fun printBaselines(scenario: Scenario) {
+    val inside = baselinesUnder(scenario, loadPercent = 90)
+    val flooded = baselinesUnder(scenario, loadPercent = 300)
+    for ((name, tally) in inside) {
+        val shares = "%.2f %% | %.2f %%".format(tally.refusedPercent, tally.worstPercent)
+        println("| ${scenario.name} | $name | ${flooded.getValue(name).excessTokens()} | $shares |")
+    }
+}
+
+private fun baselinesUnder(
+    scenario: Scenario,
+    loadPercent: Int,
+): Map<String, BaselineTally> {
+    val tallies = LinkedHashMap<String, BaselineTally>()
+    simulate(scenario, loadPercent, rightMs = 3_000) { simulation ->
+        for (baseline in listOf(Baseline.StaticSplit(INSTANCES), Baseline.SingleHome(), Baseline.SlidingWindow())) {
+            tallies[baseline.name] = BaselineTally(baseline, simulation.network)
+        }
+        simulation.onRequest = { node, workspace -> tallies.values.forEach { it.arrive(node, workspace) } }
+    }
+    return tallies
+}
+
 /** Prints the measures of the limits as the tables of docs/MEASUREMENTS.md. */
 fun main() {
     println(
@@ -138,6 +163,10 @@
     println("| --- | --- | --- | --- | --- | --- | --- |")
     SCENARIOS.forEach { printRow(it, rightMs = 3_000) }
     println()
+    println("| case | baseline | tokens over the limit at 3 times the rate | refused inside | worst-served |")
+    println("| --- | --- | --- | --- | --- |")
+    SCENARIOS.forEach { printBaselines(it) }
+    println()
     for (rightMs in listOf(3_000L, 10_000L, 30_000L)) CUTS.forEach { printRow(it, rightMs) }
     println()
     println("| instances in regions | right | messages/s sent | bytes/s sent |")
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitSimulation.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/units/LimitSimulation.kt
@@ -119,6 +119,9 @@
     var problem: String? = null
         private set
 
+    /** Sees each request at the moment of its arrival at a running instance. */
+    var onRequest: (SimNode, WorkspaceSpec) -> Unit = { _, _ -> }
+
     val network: SimNetwork =
         SimNetwork(
             seed,
@@ -164,6 +167,7 @@
             tally.down++
             return
         }
+        onRequest(node, workspaces.first { it.id == workspace })
         val process = node.process
         val component = node.component<LimitsComponent>()
         component.decided = { query, decision -> decide(node, query.workspace, decision) }
