--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/units/UnitHolder.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/units/UnitHolder.kt
@@ -50,7 +50,7 @@
     private val handed = HashMap<UnitKey, Long>()
     private val waiting = HashMap<InstanceId, Pair<PeerId, RequestHandover>>()
     private var requestCount = 0L
-    private var requestedAtMs = 0L
+    private var requestedAtMs = NEVER_MS
 
     /** Returns whether units of [workspace] are on their way here. */
     fun isMoving(workspace: WorkspaceLimit): Boolean = workspace in moving
@@ -68,17 +68,23 @@
         val before = standing
         standing = next
         val isLapsed = before != null && before.rightEpoch != next.rightEpoch
-        val isListed = before == null || before.revision != next.revision
-        val isChanged = isListed || before?.unsettled != next.unsettled || isLapsed
+        val isListed = before?.revision != next.revision
+        val isChanged = isLapsed || isListed || before?.unsettled != next.unsettled
         if (isLapsed) workspaces.forEach { drop(nowMs, it) }
         if (isListed) workspaces.forEach { rehome(it, next.cell) }
         if (isListed || isLapsed) forgetHandovers()
-        if (isChanged) {
-            workspaces.forEach { limitUse(nowMs, it, next) }
-            findMissing(next)
-        }
+        if (isChanged) reconsider(nowMs, next)
         acquire(nowMs, next)
-        return if (isChanged) answerWaiting(nowMs, next) + requestHandovers(nowMs, next) else emptyList()
+        return (if (isChanged) answerWaiting(nowMs, next) else emptyList()) + requestHandovers(nowMs, next)
+    }
+
+    private fun reconsider(
+        nowMs: Long,
+        now: Standing,
+    ) {
+        workspaces.forEach { limitUse(nowMs, it, now) }
+        findMissing(now)
+        requestedAtMs = NEVER_MS
     }
 
     /** Takes up workspaces that a configuration brought. */
@@ -92,7 +98,7 @@
     fun onTick(nowMs: Long): List<Effect> {
         val now = standing ?: return emptyList()
         acquire(nowMs, now)
-        return if (missing.isNotEmpty() && nowMs - requestedAtMs >= RETRY_MS) requestHandovers(nowMs, now) else emptyList()
+        return requestHandovers(nowMs, now)
     }
 
     /** Closes all units of [workspace]. */
@@ -278,10 +284,12 @@
         unit.workspace.put(unit.unit, now.rightEpoch, UnitBucket(unit.workspace.limits.getValue(region), level, nowMs))
     }
 
+    /** Asks only once this instance may use what it gets; until then the former homes serve better. */
     private fun requestHandovers(
         nowMs: Long,
         now: Standing,
     ): List<Effect> {
+        if (missing.isEmpty() || !now.mayAcquire(nowMs) || nowMs - requestedAtMs < RETRY_MS) return emptyList()
         requestedAtMs = nowMs
         val formers = missing.flatMapTo(LinkedHashSet()) { it.formers } - released
         return formers.map { former ->
@@ -321,6 +329,7 @@
 
     private companion object {
         const val RETRY_MS = 50L
+        const val NEVER_MS = Long.MIN_VALUE / 2
         const val UNITS_PER_MESSAGE = 200
     }
 }
