--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -40,7 +40,8 @@
     private val loop = ControlLoop("control")
     private val platform = PlatformClient(settings.platformUrl)
     private val spread = Spread(self, settings.region, settings.failureDomain, clock.nowMs(), self.incarnation.value)
-    private val membership = Membership(self, settings.region, MembershipTiming(settings.timing.rightMs), clock.nowMs())
+    private val membership =
+        Membership(self, settings.region, MembershipTiming(settings.timing.rightMs, takeoverMs = settings.timing.takeoverMs), clock.nowMs())
 
     @Volatile
     private var addresses = emptyMap<InstanceId, Endpoint>()
@@ -67,6 +68,9 @@
     /** The port on which peers connect. */
     val peerPort: Int get() = transport.port
 
+    /** Returns the time on the process's own clock. */
+    fun nowMs(): Long = clock.nowMs()
+
     /** Starts to listen, to read the platform and to talk to peers. */
     fun start() {
         transport.start()
--- a/app/src/main/kotlin/io/monsoonpath/app/standin/StandInPlatform.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/standin/StandInPlatform.kt
@@ -183,7 +183,7 @@
 
     override fun close() {
         synchronized(lock) { watches.toList() }.forEach { end(it) }
-        server.stop().join()
+        server.stop()
     }
 
     private companion object {
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
@@ -0,0 +1,113 @@
+package io.monsoonpath.app.control
+
+import com.linecorp.armeria.common.HttpStatus
+import io.monsoonpath.app.http.EntryInstance
+import io.monsoonpath.model.Configuration
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+class FleetTest {
+    private class Case(
+        val name: String,
+        val fault: (LoopbackFleet) -> Unit,
+        val follows: (Int) -> Boolean = { true },
+    )
+
+    private val cases =
+        listOf(
+            Case("nothing fails", {}),
+            Case("the platform answers the first instance only", { fleet -> fleet.platforms.drop(1).forEach { it.isDown = true } }),
+            Case("the platform answers the last instance only", { fleet -> fleet.platforms.dropLast(1).forEach { it.isDown = true } }),
+            Case("the platform serves old revisions to two instances", { fleet -> fleet.platforms.take(2).forEach { it.freeze() } }),
+            Case("the platform takes 400 ms for a call", { fleet -> fleet.platforms.forEach { it.delayMs = 400 } }),
+        )
+
+    @TestFactory
+    fun `a configuration is in force on all instances and a withdrawn key is refused everywhere in time`() =
+        cases.map { case ->
+            dynamicTest(case.name) {
+                withFleet { fleet ->
+                    case.fault(fleet)
+                    settle(fleet)
+                    val revision = fleet.publish { it.withKeysWithdrawn() }
+                    val tookMs =
+                        awaitWithin(IN_FORCE_MS, "revision $revision on all") { fleet.instances.all { revisionOf(it) == revision } }
+                    println("${case.name}: in force on all after $tookMs ms")
+                    fleet.instances.forEach { assertEquals(HttpStatus.UNAUTHORIZED, fleet.request(it).status()) }
+                }
+            }
+        }
+
+    @Test
+    fun `an instance that is cut off from peers and platform serves no keyed route and holds no right`() =
+        withFleet { fleet ->
+            val alone = fleet.instances[2]
+            fleet.cut(alone, isCut = true)
+            fleet.platforms[2].isDown = true
+            fleet.publish(fleet.platforms.take(2)) { it.withKeysWithdrawn() }
+            awaitWithin(WITHDRAWN_MS, "a refusal at ${alone.id}") { fleet.request(alone).status() != HttpStatus.OK }
+            awaitWithin(LAPSE_MS, "the right of ${alone.id} ends") { !mayAct(alone) }
+            assertContains(fleet.request(alone).contentUtf8(), "not-in-service")
+            fleet.cut(alone, isCut = false)
+            awaitWithin(LAPSE_MS, "the configuration reaches ${alone.id}") { revisionOf(alone) == fleet.configuration.revision.value }
+            awaitWithin(LAPSE_MS, "the right of ${alone.id} comes back") { mayAct(alone) }
+        }
+
+    @Test
+    fun `a paused instance finds its right and its configuration out of date`() =
+        withFleet { fleet ->
+            val paused = fleet.instances[0]
+            val pause = paused.coordinator.pause()
+            awaitWithin(LAPSE_MS, "the right of ${paused.id} ends") { !mayAct(paused) }
+            awaitWithin(LAPSE_MS, "a refusal at ${paused.id}") { fleet.request(paused).status() == HttpStatus.SERVICE_UNAVAILABLE }
+            fleet.instances.drop(1).forEach { assertEquals(HttpStatus.OK, fleet.request(it).status()) }
+            pause.close()
+            awaitWithin(LAPSE_MS, "${paused.id} serves again") { fleet.request(paused).status() == HttpStatus.OK }
+        }
+
+    @Test
+    fun `an instance that was killed and started anew learns the newest configuration from its peers`() =
+        withFleet { fleet ->
+            fleet.platforms[2].freeze()
+            val revision = fleet.publish()
+            awaitWithin(IN_FORCE_MS, "revision $revision on all") { fleet.instances.all { revisionOf(it) == revision } }
+            fleet.instances[2].coordinator.close()
+            fleet.instances.take(2).forEach { assertEquals(HttpStatus.OK, fleet.request(it).status()) }
+            fleet.instances += fleet.start(3)
+            fleet.publishList()
+            awaitWithin(IN_FORCE_MS, "revision $revision at the new process") { revisionOf(fleet.instances.last()) >= 1 }
+            assertEquals(revision, revisionOf(fleet.instances.last()))
+        }
+
+    private fun withFleet(act: (LoopbackFleet) -> Unit) =
+        LoopbackFleet().use { fleet ->
+            fleet.publishList()
+            fleet.publish()
+            settle(fleet)
+            awaitWithin(START_MS, "all have the right") { fleet.instances.all(::mayAct) }
+            act(fleet)
+        }
+
+    private fun settle(fleet: LoopbackFleet) {
+        val revision = fleet.configuration.revision.value
+        awaitWithin(START_MS, "the fleet is current") {
+            fleet.instances.all { revisionOf(it) == revision && fleet.request(it).status() == HttpStatus.OK }
+        }
+    }
+
+    private fun revisionOf(instance: EntryInstance) = instance.coordinator.spreadStatus.configuration
+
+    private fun mayAct(instance: EntryInstance) = instance.coordinator.standing.mayAct(instance.coordinator.nowMs())
+
+    private fun Configuration.withKeysWithdrawn() = copy(keys = keys.map { it.copy(withdrawn = true) })
+
+    private companion object {
+        const val START_MS = 8_000L
+        const val IN_FORCE_MS = 2_000L
+        const val WITHDRAWN_MS = 3_000L
+        const val LAPSE_MS = 6_000L
+    }
+}
--- /dev/null
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/LoopbackFleet.kt
@@ -0,0 +1,97 @@
+package io.monsoonpath.app.control
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import io.monsoonpath.app.http.EntryInstance
+import io.monsoonpath.app.standin.DEMO_KEY
+import io.monsoonpath.app.standin.StandInBackend
+import io.monsoonpath.app.standin.StandInPlatform
+import io.monsoonpath.app.standin.demoConfiguration
+import io.monsoonpath.app.standin.demoInstances
+import io.monsoonpath.app.standin.demoSettings
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.InstanceId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/** Entry instances on the loopback address, each with a platform of its own that can fail alone. */
+internal class LoopbackFleet(
+    size: Int = 3,
+) : AutoCloseable {
+    private val backend = StandInBackend("encode", tookMs = 0).start()
+    private val cut = ConcurrentHashMap.newKeySet<InstanceId>()
+    private val addresses = LinkedHashMap<InstanceId, Int>()
+    private var listRevision = 0L
+
+    val platforms = (1..size).map { StandInPlatform().start() }
+    val instances = (1..size).map { start(it) }.toMutableList()
+    var configuration = demoConfiguration(mapOf("encode" to backend.url))
+        private set
+
+    /** Starts the instance with [number] anew, at a new port, and publishes the list with it. */
+    fun start(number: Int): EntryInstance {
+        val id = InstanceId("e$number")
+        val settings = demoSettings(number, platforms[number - 1].url)
+        val instance = EntryInstance(settings, reaches = { other -> id !in cut && other !in cut })
+        instance.start()
+        addresses[id] = instance.coordinator.peerPort
+        return instance
+    }
+
+    /** Publishes the list of all instances that were started. */
+    fun publishList() {
+        val list = demoInstances(++listRevision, addresses)
+        platforms.forEach { it.publish(list) }
+    }
+
+    /** Publishes the configuration that [change] makes of the latest one, at the platforms of [at]. */
+    fun publish(
+        at: List<StandInPlatform> = platforms,
+        change: (Configuration) -> Configuration = { it },
+    ): Long {
+        configuration = change(configuration).copy(revision = ConfigRevision(configuration.revision.value + 1))
+        at.forEach { it.publish(configuration) }
+        return configuration.revision.value
+    }
+
+    /** Cuts [instance] off from its peers, or joins it again. */
+    fun cut(
+        instance: EntryInstance,
+        isCut: Boolean,
+    ) {
+        if (isCut) cut += instance.id else cut -= instance.id
+    }
+
+    /** Sends a request with the demonstration's key to [instance]. */
+    fun request(instance: EntryInstance): AggregatedHttpResponse {
+        val headers = RequestHeaders.of(HttpMethod.POST, "/v1/match", HttpHeaderNames.AUTHORIZATION, "Bearer $DEMO_KEY")
+        return WebClient
+            .of("http://127.0.0.1:${instance.callerPort}")
+            .execute(headers, "{}")
+            .aggregate()
+            .join()
+    }
+
+    override fun close() {
+        (instances.map { it as AutoCloseable } + platforms + backend).parallelStream().forEach { it.close() }
+    }
+}
+
+/** Waits until [condition] holds; returns how long that took, in milliseconds. */
+internal fun awaitWithin(
+    limitMs: Long,
+    what: String,
+    condition: () -> Boolean,
+): Long {
+    val startNs = System.nanoTime()
+    while (true) {
+        val tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)
+        if (condition()) return tookMs
+        check(tookMs < limitMs) { "not within $limitMs ms: $what" }
+        Thread.onSpinWait()
+    }
+}
--- a/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
@@ -59,6 +59,7 @@
  * @property shutdownGraceMs how long new requests are still taken after readiness turned false
  * @property shutdownDrainMs how long running requests may take to complete after that
  * @property rightMs how long the right to act lasts after it was vouched for
+ * @property takeoverMs how long a fleet that started as a whole, or lost a majority at once, waits before it takes over what was held
  * @property peerTimeoutMs the longest wait for a peer's answer within a request
  */
 @Serializable
@@ -66,5 +67,6 @@
     val shutdownGraceMs: Long = 2_000,
     val shutdownDrainMs: Long = 30_000,
     val rightMs: Long = 3_000,
+    val takeoverMs: Long = 60_000,
     val peerTimeoutMs: Long = 150,
 )
