--- a/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
@@ -38,13 +38,12 @@
     instances.forEach { it.start() }
     platform.publish(demoInstances(1, instances.associate { it.id to it.coordinator.peerPort }))
     instances.forEach { it.ready.get(READY_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
+    while (!instances.all { it.coordinator.isServing() }) Thread.sleep(READY_POLL_MS)
     val failures = (1..REQUESTS).mapNotNull { sendOne(it, instances[it % instances.size], backends.values) }
     println(
         "$REQUESTS requests over ${STAGES.size} stages and ${instances.size} entry instances: ${REQUESTS - failures.size} whole answers",
     )
-    instances.forEach { it.close() }
-    platform.close()
-    backends.values.forEach { it.close() }
+    (instances + platform + backends.values).parallelStream().forEach { it.close() }
     return failures
 }
 
@@ -73,4 +72,5 @@
 
 private val STAGES = listOf("encode", "retrieve", "rerank", "generate")
 private const val REQUESTS = 30
+private const val READY_POLL_MS = 20L
 private const val READY_TIMEOUT_MS = 10_000L
--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/CoordinatedRateLimiter.kt
@@ -0,0 +1,104 @@
+package io.monsoonpath.app.control
+
+import io.monsoonpath.app.request.RateLimiter
+import io.monsoonpath.app.request.RateToken
+import io.monsoonpath.app.request.refused
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.units.Charge
+import io.monsoonpath.coordination.units.LimitDecision
+import io.monsoonpath.coordination.units.LimitQuery
+import io.monsoonpath.coordination.units.Limits
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.Step
+import io.monsoonpath.model.WorkspaceSpec
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Limits workspaces over all instances: spends what is held here without waiting, and otherwise asks peers within bounded time.
+ *
+ * @param decide hands a step to the control loop, which carries out its effects
+ */
+internal class CoordinatedRateLimiter(
+    private val limits: Limits,
+    private val clock: ClockMs,
+    private val peerTimeoutMs: Long,
+    private val decide: (() -> List<Effect>) -> Unit,
+) : RateLimiter {
+    private val waiting = ConcurrentHashMap<LimitQuery, CompletableDeferred<LimitDecision>>()
+
+    override suspend fun acquire(
+        workspace: WorkspaceSpec,
+        deadlineAtMs: Long,
+    ): Outcome<RateToken> =
+        when (val decision = limits.acquire(clock, workspace.id)) {
+            is LimitDecision.NeedPeers -> gather(decision.query, deadlineAtMs)
+            else -> outcomeOf(decision)
+        }
+
+    /** Takes a decision for a query; what was gathered for a request that waits no longer is given back. */
+    fun onDecided(
+        query: LimitQuery,
+        decision: LimitDecision,
+    ) {
+        val waiter = waiting.remove(query)
+        if (waiter == null) giveBack(decision) else waiter.complete(decision)
+    }
+
+    private suspend fun gather(
+        query: LimitQuery,
+        deadlineAtMs: Long,
+    ): Outcome<RateToken> {
+        val waiter = CompletableDeferred<LimitDecision>()
+        waiting[query] = waiter
+        decide { limits.onQuery(clock.nowMs(), query) }
+        val decision =
+            try {
+                val waitMs = minOf(peerTimeoutMs + GRACE_MS, deadlineAtMs - clock.nowMs())
+                withTimeoutOrNull(waitMs) { waiter.await() } ?: stopWaiting(query, waiter)
+            } catch (e: CancellationException) {
+                stopWaiting(query, waiter)?.let { giveBack(it) }
+                throw e
+            }
+        if (decision is LimitDecision.Admitted && !query.isInTime(clock.nowMs(), peerTimeoutMs)) {
+            giveBack(decision)
+            return unreachable(null)
+        }
+        return if (decision == null) unreachable(null) else outcomeOf(decision)
+    }
+
+    /** Ends the wait; returns the decision if it came at the same moment. */
+    private suspend fun stopWaiting(
+        query: LimitQuery,
+        waiter: CompletableDeferred<LimitDecision>,
+    ): LimitDecision? = if (waiting.remove(query) == null) withContext(NonCancellable) { waiter.await() } else null
+
+    private fun outcomeOf(decision: LimitDecision): Outcome<RateToken> =
+        when (decision) {
+            is LimitDecision.Admitted -> Outcome.Ok(RateToken { refund(decision.charge) })
+            is LimitDecision.RateLimited ->
+                refused(RefusalReason.RATE_LIMITED, Step.RATE, "the workspace is above its rate", decision.retryAfterMs)
+            is LimitDecision.Unreachable -> unreachable(decision.peer?.value)
+            is LimitDecision.NeedPeers -> unreachable(null)
+        }
+
+    private fun unreachable(peer: String?) =
+        refused(RefusalReason.LIMIT_UNREACHABLE, Step.RATE, "the workspace's rate could not be checked", RETRY_AFTER_MS, peer)
+
+    private fun giveBack(decision: LimitDecision) {
+        if (decision is LimitDecision.Admitted) refund(decision.charge)
+    }
+
+    private fun refund(charge: Charge) = decide { limits.onRefund(clock.nowMs(), charge) }
+
+    private companion object {
+        const val GRACE_MS = 20L
+        const val RETRY_AFTER_MS = 500L
+    }
+}
--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -15,6 +15,7 @@
 import io.monsoonpath.coordination.spread.Spread
 import io.monsoonpath.coordination.spread.SpreadEffect
 import io.monsoonpath.coordination.spread.SpreadStatus
+import io.monsoonpath.coordination.units.Limits
 import io.monsoonpath.model.ClockMs
 import io.monsoonpath.model.Endpoint
 import io.monsoonpath.model.EventSink
@@ -43,6 +44,13 @@
     private val membership =
         Membership(self, settings.region, MembershipTiming(settings.timing.rightMs, takeoverMs = settings.timing.takeoverMs), clock.nowMs())
 
+    private val limits = Limits(self, settings.region, settings.timing.peerTimeoutMs)
+    private var passedOn: Standing? = null
+
+    /** Limits workspaces over all instances. */
+    val limiter: CoordinatedRateLimiter =
+        CoordinatedRateLimiter(limits, clock, settings.timing.peerTimeoutMs) { step -> loop.post { carryOutAll(step()) } }
+
     @Volatile
     private var addresses = emptyMap<InstanceId, Endpoint>()
     private val transport =
@@ -68,6 +76,9 @@
     /** The port on which peers connect. */
     val peerPort: Int get() = transport.port
 
+    /** Returns whether this process holds its right and may use what is homed here. */
+    fun isServing(): Boolean = standing.mayAct(clock.nowMs()) && standing.takeoverSinceMs() != null
+
     /** Returns the time on the process's own clock. */
     fun nowMs(): Long = clock.nowMs()
 
@@ -75,6 +86,7 @@
     fun start() {
         transport.start()
         loop.every(TICK_MS) { tick() }
+        loop.every(LIMIT_TICK_MS) { carryOutAll(limits.onTick(clock.nowMs())) }
     }
 
     /** Stops the loop until the returned handle is closed; tests pause a process with it. */
@@ -89,6 +101,7 @@
     private fun tick() {
         carryOut(spread.onTick(clock.nowMs()))
         carryOutAll(membership.onTick(clock.nowMs()))
+        passOnStanding()
     }
 
     private fun take(
@@ -97,6 +110,16 @@
     ) {
         carryOut(spread.onMessage(clock.nowMs(), from, message))
         carryOutAll(membership.onMessage(clock.nowMs(), from, message))
+        passOnStanding()
+        carryOutAll(limits.onMessage(clock.nowMs(), from, message))
+    }
+
+    /** Tells the other decisions a new standing, before anything else happens under it. */
+    private fun passOnStanding() {
+        val standing = membership.standing
+        if (standing === passedOn) return
+        passedOn = standing
+        carryOutAll(limits.onStanding(clock.nowMs(), standing))
     }
 
     private fun carryOutAll(effects: List<Effect>) =
@@ -104,6 +127,7 @@
             when (effect) {
                 is Effect.Send -> transport.send(effect.to, effect.message)
                 is Effect.Emit -> events.emit(effect.event)
+                is Effect.LimitDecided -> limiter.onDecided(effect.query, effect.decision)
             }
         }
 
@@ -126,7 +150,10 @@
 
     private fun adopt(adopted: SpreadEffect.Adopt) {
         when (val document = adopted.document) {
-            is PublishedDocument.OfConfiguration -> configurations.adopt(document.configuration, adopted.source)
+            is PublishedDocument.OfConfiguration -> {
+                limits.onConfiguration(clock.nowMs(), document.configuration)
+                configurations.adopt(document.configuration, adopted.source)
+            }
             is PublishedDocument.OfInstances -> adopt(document.list, adopted.source)
         }
     }
@@ -137,9 +164,11 @@
     ) {
         addresses = list.members.associate { it.id to it.peer }
         carryOutAll(membership.onList(clock.nowMs(), list, source))
+        passOnStanding()
     }
 
     private companion object {
-        const val TICK_MS = 20L
+        const val TICK_MS = 50L
+        const val LIMIT_TICK_MS = 10L
     }
 }
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -64,7 +64,7 @@
 
     /** The decisions that this instance takes together with its peers. */
     val coordinator = Coordinator(PeerId(settings.instance, incarnation), settings, secrets, clock, events, configurations, reaches)
-    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock))
+    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock), coordinator.limiter)
     private val callerServer = callerServer(requestPath(clock, events, metrics, ports, BackendSender(metrics)))
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
 
--- a/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
@@ -10,6 +10,7 @@
 import io.monsoonpath.model.RefusalReason
 import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.Step
+import io.monsoonpath.model.valueOrNull
 import kotlinx.coroutines.CancellationException
 
 private val log = KotlinLogging.logger {}
@@ -126,7 +127,7 @@
             is Outcome.Refused -> taken
             else -> {
                 val outcome = next.proceed(exchange)
-                if (workspace != null && outcome.isNotRun()) limiter.refund(workspace)
+                if (outcome.isNotRun()) taken?.valueOrNull()?.refund()
                 outcome
             }
         }
--- a/app/src/main/kotlin/io/monsoonpath/app/request/LocalRateLimiter.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/LocalRateLimiter.kt
@@ -22,15 +22,15 @@
     override suspend fun acquire(
         workspace: WorkspaceSpec,
         deadlineAtMs: Long,
-    ): Outcome<Unit> {
+    ): Outcome<RateToken> {
         val bucket = bucketOf(workspace)
         val missingMicro = synchronized(bucket) { bucket.take(workspace, clock.nowMs()) }
-        if (missingMicro == 0L) return Outcome.Ok(Unit)
+        if (missingMicro == 0L) return Outcome.Ok(RateToken { refund(workspace) })
         val retryAfterMs = missingMicro / workspace.rateMilliPerS + 1
         return refused(RefusalReason.RATE_LIMITED, Step.RATE, "the workspace is above its rate", retryAfterMs)
     }
 
-    override fun refund(workspace: WorkspaceSpec) {
+    private fun refund(workspace: WorkspaceSpec) {
         val bucket = bucketOf(workspace)
         synchronized(bucket) { bucket.levelMicro = minOf(capacityMicro(workspace), bucket.levelMicro + MICRO) }
     }
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
@@ -35,10 +35,13 @@
     suspend fun acquire(
         workspace: WorkspaceSpec,
         deadlineAtMs: Long,
-    ): Outcome<Unit>
+    ): Outcome<RateToken>
+}
 
-    /** Gives back what [acquire] took for a request that was refused later without having run; best effort. */
-    fun refund(workspace: WorkspaceSpec)
+/** What one request took off the limit of its workspace. */
+internal fun interface RateToken {
+    /** Gives the token back, for a request that was refused later without having run; best effort. */
+    fun refund()
 }
 
 /** Makes sure that a non-idempotent request runs at most once, whichever instances it is sent through. */
--- a/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
@@ -6,8 +6,8 @@
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.Test
-import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 class FleetTest {
     private class Case(
@@ -48,9 +48,8 @@
             fleet.cut(alone, isCut = true)
             fleet.platforms[2].isDown = true
             fleet.publish(fleet.platforms.take(2)) { it.withKeysWithdrawn() }
-            awaitWithin(WITHDRAWN_MS, "a refusal at ${alone.id}") { fleet.request(alone).status() != HttpStatus.OK }
+            awaitWithin(WITHDRAWN_MS, "a refusal at ${alone.id}") { "not-in-service" in fleet.request(alone).contentUtf8() }
             awaitWithin(LAPSE_MS, "the right of ${alone.id} ends") { !mayAct(alone) }
-            assertContains(fleet.request(alone).contentUtf8(), "not-in-service")
             fleet.cut(alone, isCut = false)
             awaitWithin(LAPSE_MS, "the configuration reaches ${alone.id}") { revisionOf(alone) == fleet.configuration.revision.value }
             awaitWithin(LAPSE_MS, "the right of ${alone.id} comes back") { mayAct(alone) }
@@ -82,12 +81,34 @@
             assertEquals(revision, revisionOf(fleet.instances.last()))
         }
 
+    @Test
+    fun `a workspace gets its burst and rate over all instances together however its requests are spread`() =
+        withFleet { fleet ->
+            val burst = 50
+            fleet.publish { it.withLimit(ratePerS = 1, burst = burst) }
+            awaitWithin(IN_FORCE_MS, "the new limit") { fleet.instances.all { revisionOf(it) == fleet.configuration.revision.value } }
+            val startNs = System.nanoTime()
+            val skewed = (1..2 * burst).map { fleet.request(fleet.instances[if (it % 10 == 0) it % 3 else 0]).status() }
+            val even = fleet.instances.map { fleet.request(it).status() }
+            val elapsedS = (System.nanoTime() - startNs) / NS_PER_S + 1
+            val admitted = (skewed + even).count { it == HttpStatus.OK }
+            println("admitted $admitted of ${skewed.size + even.size} in at most $elapsedS s")
+            assertTrue(admitted <= burst + elapsedS, "admitted $admitted in $elapsedS s")
+            assertTrue((skewed + even).all { it == HttpStatus.OK || it == HttpStatus.TOO_MANY_REQUESTS }, "$skewed $even")
+            assertTrue(even.count { it == HttpStatus.OK } <= elapsedS, "tokens were left: $even")
+        }
+
+    private fun Configuration.withLimit(
+        ratePerS: Int,
+        burst: Int,
+    ) = copy(workspaces = workspaces.map { it.copy(rateMilliPerS = ratePerS * 1_000L, burst = burst) })
+
     private fun withFleet(act: (LoopbackFleet) -> Unit) =
         LoopbackFleet().use { fleet ->
             fleet.publishList()
             fleet.publish()
+            awaitWithin(START_MS, "all serve") { fleet.instances.all { it.coordinator.isServing() } }
             settle(fleet)
-            awaitWithin(START_MS, "all have the right") { fleet.instances.all(::mayAct) }
             act(fleet)
         }
 
@@ -105,6 +126,7 @@
     private fun Configuration.withKeysWithdrawn() = copy(keys = keys.map { it.copy(withdrawn = true) })
 
     private companion object {
+        const val NS_PER_S = 1_000_000_000L
         const val START_MS = 8_000L
         const val IN_FORCE_MS = 2_000L
         const val WITHDRAWN_MS = 3_000L
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/spread/Spread.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/spread/Spread.kt
@@ -43,6 +43,7 @@
     private var standInFromMs: Long? = null
     private var nextAskMs = startedMs
     private var nextVouchMs = startedMs
+    private var nextPatrolMs = startedMs
     private var reads = 0L
 
     /** The latest snapshot; it is replaced, never changed. */
@@ -201,7 +202,7 @@
         kind: DocumentKind,
         revision: Long,
     ) {
-        schedules.getValue(kind).succeeded(MIN_READ_GAP_MS)
+        schedules.getValue(kind).succeeded(if (topology == null) NO_LIST_GAP_MS else MIN_READ_GAP_MS)
         if (kind == DocumentKind.CONFIGURATION) currency.noteRead(revision, revision, sentMs, self.id)
     }
 
@@ -273,8 +274,9 @@
         nowMs: Long,
         effects: MutableList<SpreadEffect>,
     ) {
-        val readsAny = topology == null || topology?.isReader == true || standsIn
-        if (!readsAny) return
+        val watches = topology == null || topology?.isReader == true || standsIn
+        if (!watches && nowMs < nextPatrolMs) return
+        nextPatrolMs = nowMs + patrolMs() * 3 / 4 + random.nextLong(patrolMs() / 2)
         readIfDue(nowMs, DocumentKind.INSTANCES, timing.listWatchMs, effects)
         val peersKnowNewer = fetches.getValue(DocumentKind.CONFIGURATION).newestHeld > replicaOf(DocumentKind.CONFIGURATION).revision
         if (startup == null && !(peersKnowNewer && replicaOf(DocumentKind.CONFIGURATION).revision == 0L)) {
@@ -293,9 +295,13 @@
         schedule.started(nowMs)
         reads++
         val after = replicaOf(kind).revision
-        effects += SpreadEffect.Read(kind, after, if (startup == null) watchMs else 0L)
+        val waits = startup == null && (topology?.isReader == true || standsIn)
+        effects += SpreadEffect.Read(kind, after, if (waits) watchMs else 0L)
     }
 
+    /** The time between two reads of a process that does not watch, which finds out if the readers are served an old state. */
+    private fun patrolMs(): Long = maxOf(MIN_PATROL_MS, (topology?.size ?: 0) * PATROL_SHARE_MS)
+
     /** Readers may retry at once; the others share a rate of reads that does not grow with the number of instances. */
     private fun leastPauseMs(): Long = topology?.takeIf { !it.isReader }?.let { it.size * READ_SHARE_MS } ?: 0L
 
@@ -361,8 +367,11 @@
     private companion object {
         const val PLATFORM = "platform"
         const val MIN_READ_GAP_MS = 100L
+        const val NO_LIST_GAP_MS = 500L
         const val MIN_JITTER_MS = 400L
         const val READ_SHARE_MS = 20L
+        const val MIN_PATROL_MS = 1_000L
+        const val PATROL_SHARE_MS = 250L
         const val NOTICES = 2
         const val START_PEERS = 3
         const val START_ASK_MS = 150L
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/PartsProperties.kt
@@ -0,0 +1,58 @@
+package io.monsoonpath.coordination.spread
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import kotlin.random.Random
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class PartsProperties {
+    @Property(seed = "51", tries = 200)
+    fun `a document comes back from the parts that changed`(
+        @ForAll seed: Long,
+        @ForAll @IntRange(max = 3_000) lines: Int,
+    ) {
+        val old = documentOf(lines, Random(seed))
+        val new = changed(old, Random(seed + 1))
+        val change = changeOf(DocumentKind.CONFIGURATION, 2, 1, partsOf(old).map { it.hash }, partsOf(new))
+        val byHash = (partsOf(old) + change.parts.map { partOf(it.bytes) }).associateBy { it.hash }
+        val hashes = checkNotNull(applyRecipe(change, partsOf(old).map { it.hash }))
+        assertContentEquals(new, textOf(hashes.map { byHash.getValue(it) }))
+        assertTrue(change.parts.sumOf { it.bytes.size } <= MAX_CHANGE_BYTES, "${change.parts.sumOf { it.bytes.size }} bytes")
+    }
+
+    @Property(seed = "52", tries = 500)
+    fun `a recipe that does not fit is refused`(
+        @ForAll from: Int,
+        @ForAll count: Int,
+    ) {
+        val base = partsOf(documentOf(200, Random(1)))
+        val change = changeOf(DocumentKind.CONFIGURATION, 2, 1, base.map { it.hash }, base).copy(recipe = listOf(from, count))
+        val applied = applyRecipe(change, base.map { it.hash })
+        val fits = from in base.indices && count in 1..base.size - from
+        assertEquals(fits, applied != null)
+    }
+
+    private fun documentOf(
+        lines: Int,
+        random: Random,
+    ) = (1..lines).joinToString(",\n") { "  \"line\": \"${random.nextLong()}\"" }.toByteArray()
+
+    /** Changes one line, and removes or doubles another. */
+    private fun changed(
+        document: ByteArray,
+        random: Random,
+    ): ByteArray {
+        val lines = document.decodeToString().split("\n").toMutableList()
+        lines[random.nextInt(lines.size)] = "a line that was changed,"
+        if (random.nextBoolean()) lines.removeAt(random.nextInt(lines.size)) else lines.add(random.nextInt(lines.size), "a new line,")
+        return lines.joinToString("\n").toByteArray()
+    }
+
+    private companion object {
+        /** Two places of change, at most three of the longest parts each. */
+        const val MAX_CHANGE_BYTES = 6 * 4_096
+    }
+}
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/SpreadFleet.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/SpreadFleet.kt
@@ -58,6 +58,7 @@
     var platform = Platform()
     var isCut: (InstanceId, InstanceId) -> Boolean = { _, _ -> false }
     var readable: (InstanceId) -> Boolean = { true }
+    var servesOldTo: Set<InstanceId>? = null
     var countBytes = false
     val faults = mutableListOf<String>()
 
@@ -211,6 +212,11 @@
         target.bytesIn += bytes
     }
 
+    private fun configurationFor(id: InstanceId): Pair<Long, ByteArray>? {
+        val isOld = servesOldTo?.let { id in it } ?: true
+        return platform.servesOld?.takeIf { isOld } ?: platform.configuration
+    }
+
     private fun read(
         node: Node,
         effect: SpreadEffect.Read,
@@ -226,7 +232,7 @@
             }
 
         fun poll() {
-            val served = if (effect.kind == DocumentKind.INSTANCES) platform.list else platform.servesOld ?: platform.configuration
+            val served = if (effect.kind == DocumentKind.INSTANCES) platform.list else configurationFor(node.id)
             when {
                 !readable(node.id) -> finish(ReadResult.Failed)
                 served != null && served.first > effect.after -> finish(ReadResult.Whole(served.second))
--- /dev/null
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/SpreadMeasureTest.kt
@@ -0,0 +1,127 @@
+package io.monsoonpath.coordination.spread
+
+import io.monsoonpath.model.Access
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.BackendSpec
+import io.monsoonpath.model.ConfigRevision
+import io.monsoonpath.model.Configuration
+import io.monsoonpath.model.DocumentJson
+import io.monsoonpath.model.DomainSpec
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.KeyId
+import io.monsoonpath.model.KeySpec
+import io.monsoonpath.model.PipelineId
+import io.monsoonpath.model.PipelineSpec
+import io.monsoonpath.model.PoolId
+import io.monsoonpath.model.PoolSpec
+import io.monsoonpath.model.Region
+import io.monsoonpath.model.RouteSpec
+import io.monsoonpath.model.StageId
+import io.monsoonpath.model.StageKind
+import io.monsoonpath.model.StageSpec
+import io.monsoonpath.model.WorkspaceId
+import io.monsoonpath.model.WorkspaceSpec
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.random.Random
+import kotlin.test.assertTrue
+
+/** Measures what the spread of a configuration of the target's size costs, and holds it to the target's bounds. */
+class SpreadMeasureTest {
+    private val sizes = listOf(Triple(9, 3, 1), Triple(50, 5, 1), Triple(410, 10, 4))
+
+    @TestFactory
+    fun `bytes of an idle second and of a change stay within the budget of a node`() =
+        sizes.map { (size, domains, regions) ->
+            dynamicTest("$size instances") {
+                val random = Random(size)
+                val fleet = SpreadFleet(size, domains, regions, seed = 3)
+                fleet.publish(1, textOf(DOCUMENT))
+                fleet.runUntil(60_000) { fleet.allHold(1) }
+                fleet.runUntil(6_000)
+                fleet.countBytes = true
+                fleet.runUntil(IDLE_S * 1_000L)
+                val idle = fleet.nodes.map { maxOf(it.bytesOut, it.bytesIn) / IDLE_S }
+                fleet.nodes.forEach { it.clearBytes() }
+                var document = DOCUMENT
+                var slowestMs = 0L
+                for (revision in 2L..1L + CHANGES) {
+                    document = document.withOneKeyWithdrawn(random)
+                    fleet.publish(revision, textOf(document))
+                    slowestMs = maxOf(slowestMs, fleet.runUntil(20_000) { fleet.allHold(revision) })
+                    fleet.runUntil(CHANGE_SPACING_MS)
+                }
+                val spanS = (CHANGES * CHANGE_SPACING_MS) / 1_000
+                val perChange = fleet.nodes.map { (maxOf(it.bytesOut, it.bytesIn) - idle.max() * spanS).coerceAtLeast(0) / CHANGES }
+                val perSecond = idle.max() + perChange.max() * CHANGES_PER_DAY / DAY_S
+                println(
+                    "MEASURE $size instances, document ${textOf(
+                        DOCUMENT,
+                    ).size} bytes: idle mean ${idle.average().toLong()} max ${idle.max()} " +
+                        "bytes/s, change mean ${perChange.average().toLong()} max ${perChange.max()} bytes, slowest $slowestMs ms, " +
+                        "busiest node at $CHANGES_PER_DAY changes a day $perSecond bytes/s",
+                )
+                assertTrue(slowestMs <= IN_FORCE_MS, "in force after $slowestMs ms")
+                assertTrue(perSecond <= BUDGET_BYTES_PER_S, "$perSecond bytes/s")
+            }
+        }
+
+    private fun SpreadFleet.Node.clearBytes() {
+        bytesOut = 0
+        bytesIn = 0
+    }
+
+    private fun Configuration.withOneKeyWithdrawn(random: Random): Configuration {
+        val at = random.nextInt(keys.size)
+        return copy(keys = keys.mapIndexed { i, key -> if (i == at) key.copy(withdrawn = !key.withdrawn) else key })
+    }
+
+    private fun textOf(document: Configuration) = DocumentJson.encodeToString(Configuration.serializer(), document).toByteArray()
+
+    private companion object {
+        const val IDLE_S = 20
+        const val CHANGES = 5
+        const val CHANGE_SPACING_MS = 3_000L
+        const val CHANGES_PER_DAY = 3_900
+        const val DAY_S = 86_400
+        const val IN_FORCE_MS = 2_000L
+        const val BUDGET_BYTES_PER_S = 13_000L
+        const val WORKSPACES = 3_300
+        const val WORKERS = 7_200
+
+        /** 3,300 workspaces with a key each, and 7,200 backend servers. */
+        val DOCUMENT =
+            Configuration(
+                revision = ConfigRevision(1),
+                domains = (0..9).map { DomainSpec(FailureDomain("fd$it"), Region("r${it % 4}")) },
+                pools = listOf(PoolSpec(PoolId("encoders"), StageKind.ENCODE)),
+                backends =
+                    (0 until WORKERS).map {
+                        val url = "http://10.${it / 256 / 256}.${it / 256 % 256}.${it % 256}:9000"
+                        BackendSpec(BackendId("worker-$it"), url, PoolId("encoders"), FailureDomain("fd${it % 10}"), 2, 16)
+                    },
+                pipelines =
+                    listOf(
+                        PipelineSpec(
+                            PipelineId("tag"),
+                            4_000,
+                            listOf(StageSpec(StageId("encode"), StageKind.ENCODE, PoolId("encoders"), "/encode")),
+                        ),
+                    ),
+                routes = listOf(RouteSpec("/v1/tag", PipelineId("tag"), Access.KEYED)),
+                workspaces = (0 until WORKSPACES).map { WorkspaceSpec(WorkspaceId("workspace-$it"), 4_000L + it, 20) },
+                keys =
+                    (0 until WORKSPACES).map {
+                        KeySpec(KeyId("key-$it"), WorkspaceId("workspace-$it"), hex(it, 32), hex(it + WORKSPACES, 64))
+                    },
+            )
+
+        fun hex(
+            seed: Int,
+            digits: Int,
+        ): String {
+            val random = Random(seed)
+            return (1..digits).joinToString("") { random.nextInt(16).toString(16) }
+        }
+    }
+}
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/SpreadTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/spread/SpreadTest.kt
@@ -25,6 +25,10 @@
                 val allowed = f.nodes.filter { it.domain == f.nodes[0].domain }.map { it.id }
                 f.readable = { it in allowed }
             },
+            Case("the readers of 3 instances are served an old state", 3, 1, 2_000) { f ->
+                f.servesOldTo = chooseReaders(f.nodes[0].domain, f.nodes.map { it.id }).toSet()
+                f.platform.servesOld = f.platform.configuration
+            },
             Case("one instance reaches its peers in one direction only", 9, 3, 2_000) { f ->
                 f.isCut = { from, to -> from == f.nodes[4].id && to != f.nodes[5].id }
             },
