--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -128,6 +128,8 @@
                 is Effect.Send -> transport.send(effect.to, effect.message)
                 is Effect.Emit -> events.emit(effect.event)
                 is Effect.LimitDecided -> limiter.onDecided(effect.query, effect.decision)
+                // Claims and permits are not driven yet.
+                is Effect.ClaimDecided, is Effect.PermitDecided -> Unit
             }
         }
 
