--- a/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/DemoCommand.kt
@@ -11,8 +11,8 @@
 import io.monsoonpath.app.standin.StandInBackend
 import io.monsoonpath.app.standin.StandInPlatform
 import io.monsoonpath.app.standin.demoConfiguration
-import io.monsoonpath.app.standin.demoInstances
 import io.monsoonpath.app.standin.demoSettings
+import io.monsoonpath.app.standin.joinFleet
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import java.util.concurrent.TimeUnit
@@ -36,9 +36,8 @@
     platform.publish(demoConfiguration(backends.mapValues { it.value.url }))
     val instances = (1..3).map { EntryInstance(demoSettings(it, platform.url)) }
     instances.forEach { it.start() }
-    platform.publish(demoInstances(1, instances.associate { it.id to it.coordinator.peerPort }))
     instances.forEach { it.ready.get(READY_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
-    while (!instances.all { it.coordinator.isServing() }) Thread.sleep(READY_POLL_MS)
+    platform.joinFleet(instances)
     val failures = (1..REQUESTS).mapNotNull { sendOne(it, instances[it % instances.size], backends.values) }
     println(
         "$REQUESTS requests over ${STAGES.size} stages and ${instances.size} entry instances: ${REQUESTS - failures.size} whole answers",
@@ -72,5 +71,4 @@
 
 private val STAGES = listOf("encode", "retrieve", "rerank", "generate")
 private const val REQUESTS = 30
-private const val READY_POLL_MS = 20L
 private const val READY_TIMEOUT_MS = 10_000L
