--- a/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
@@ -84,6 +84,8 @@
     @Test
     fun `a workspace gets its burst and rate over all instances together however its requests are spread`() =
         withFleet { fleet ->
+            val revision = fleet.publish { it.copy(workspaces = it.workspaces.map { w -> w.copy(rateMilliPerS = 100_000) }) }
+            awaitWithin(IN_FORCE_MS, "the limit") { fleet.instances.all { revisionOf(it) == revision } }
             val limit = fleet.configuration.workspaces.single()
             val ratePerS = limit.rateMilliPerS / 1_000.0
             val startNs = System.nanoTime()
