--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -50,7 +50,7 @@
 
     /** The decisions that this instance takes together with its peers. */
     val coordinator = Coordinator(PeerId(settings.instance, incarnation), settings, secrets, clock, events, configurations, reaches)
-    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock))
+    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock), coordinator.limiter)
     private val callers =
         CallerServer(settings.caller, settings.limits, clock, events, registry, state, configurations::currentOrNull, ports)
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
--- a/app/src/test/kotlin/io/monsoonpath/app/http/ShutdownTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/ShutdownTest.kt
@@ -9,11 +9,10 @@
 import io.monsoonpath.app.standin.StandInBackend
 import io.monsoonpath.app.standin.StandInPlatform
 import io.monsoonpath.app.standin.demoConfiguration
-import io.monsoonpath.app.standin.demoInstances
 import io.monsoonpath.app.standin.demoSettings
+import io.monsoonpath.app.standin.joinFleet
 import io.monsoonpath.model.Ran
 import io.monsoonpath.model.RefusalReason
-import io.monsoonpath.model.TimingSettings
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -29,10 +28,11 @@
 
     init {
         platform.publish(demoConfiguration(mapOf("encode" to encoder.url, "generate" to engine.url)))
-        val timing = TimingSettings(shutdownGraceMs = 300, shutdownDrainMs = 20_000)
-        instance = EntryInstance(demoSettings(1, platform.url).copy(timing = timing))
+        val settings = demoSettings(1, platform.url)
+        val timing = settings.timing.copy(shutdownGraceMs = 300, shutdownDrainMs = 20_000)
+        instance = EntryInstance(settings.copy(timing = timing))
         instance.start()
-        platform.publish(demoInstances(1, mapOf(instance.id to instance.coordinator.peerPort)))
+        platform.joinFleet(listOf(instance))
         instance.ready.get(10, TimeUnit.SECONDS)
     }
 
