--- a/policy/src/main/kotlin/io/monsoonpath/policy/retry/AttemptBudget.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/retry/AttemptBudget.kt
@@ -5,8 +5,8 @@
 /**
  * A budget of extra attempts as a share of first attempts, so that overload is never amplified.
  *
- * Without a reserve it starts empty: over any stretch from the start, the extra attempts are at most the share of the first attempts. What is
- * not used is kept up to [MAX_SAVED] attempts. Usable from several threads.
+ * Without a reserve it starts empty: over any stretch from the start, the extra attempts are at most the share of the first
+ * attempts. What is not used is kept up to [MAX_SAVED] attempts. Usable from several threads.
  *
  * @param shareMilli the extra attempts allowed for a thousand first attempts
  * @param reserve the extra attempts that are there at the start, before any first attempt
