--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -9,8 +9,8 @@
 import io.monsoonpath.app.event.EventLog
 import io.monsoonpath.app.peer.PeerSecrets
 import io.monsoonpath.app.peer.readPeerSecrets
+import io.monsoonpath.app.policy.policyPorts
 import io.monsoonpath.app.request.RequestPorts
-import io.monsoonpath.app.request.localPorts
 import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.InstanceId
@@ -50,7 +50,8 @@
 
     /** The decisions that this instance takes together with its peers. */
     val coordinator = Coordinator(PeerId(settings.instance, incarnation), settings, secrets, clock, events, configurations, reaches)
-    private val ports: RequestPorts = localPorts(clock, settings.limits, currencyGate(state, coordinator, clock), coordinator.limiter)
+    private val ports: RequestPorts =
+        policyPorts(clock, settings, currencyGate(state, coordinator, clock), coordinator.limiter, LocalClaimSource(clock))
     private val callers =
         CallerServer(settings.caller, settings.limits, clock, events, registry, state, configurations::currentOrNull, ports)
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
