--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -10,6 +10,7 @@
 import io.monsoonpath.app.peer.PeerSecrets
 import io.monsoonpath.app.peer.readPeerSecrets
 import io.monsoonpath.app.policy.policyPorts
+import io.monsoonpath.app.request.LocalClaimSource
 import io.monsoonpath.app.request.RequestPorts
 import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.model.Incarnation
