--- /dev/null
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/CoordinatedClaimSource.kt
@@ -0,0 +1,155 @@
+package io.monsoonpath.app.control
+
+import io.monsoonpath.app.request.Claim
+import io.monsoonpath.app.request.ClaimSource
+import io.monsoonpath.app.request.refused
+import io.monsoonpath.coordination.ClaimOutcome
+import io.monsoonpath.coordination.ClaimRefusal
+import io.monsoonpath.coordination.Effect
+import io.monsoonpath.coordination.claims.Claims
+import io.monsoonpath.coordination.message.ClaimPhase
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.Outcome
+import io.monsoonpath.model.Ran
+import io.monsoonpath.model.RefusalReason
+import io.monsoonpath.model.RequestId
+import io.monsoonpath.model.Step
+import io.monsoonpath.model.TimingSettings
+import io.monsoonpath.model.WorkspaceId
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Claims request ids over all instances, within bounded time.
+ *
+ * The claim is granted here only while this process may act, and the request is sent right after; a process that was stopped in between
+ * refuses, because the time since the grant is checked on the caller's side of the loop.
+ *
+ * @param decide hands a step to the control loop, which carries out its effects
+ */
+internal class CoordinatedClaimSource(
+    private val claims: Claims,
+    private val timing: TimingSettings,
+    private val clock: ClockMs,
+    private val mayAct: (Long) -> Boolean,
+    private val decide: (() -> List<Effect>) -> Unit,
+) : ClaimSource {
+    private val waiting = ConcurrentHashMap<Long, CompletableDeferred<ClaimOutcome>>()
+    private val lastToken = AtomicLong()
+
+    override suspend fun claim(
+        workspace: WorkspaceId?,
+        request: RequestId,
+        lastsMs: Long,
+    ): Outcome<Claim> {
+        if (lastsMs >= timing.claimTtlMs) return tooLong(lastsMs)
+        val token = lastToken.incrementAndGet()
+        val waiter = CompletableDeferred<ClaimOutcome>()
+        waiting[token] = waiter
+        decide { claims.claim(clock.nowMs(), token, workspace ?: OPEN_ROUTES, request, timing.peerTimeoutMs) }
+        val outcome =
+            try {
+                withTimeoutOrNull(timing.peerTimeoutMs + GRACE_MS) { waiter.await() }
+            } catch (e: CancellationException) {
+                abandon(token)
+                throw e
+            }
+        return if (outcome == null) unreachable().also { abandon(token) } else outcomeOf(token, outcome)
+    }
+
+    /** Takes the outcome of a claim; one for which nobody waits any more is given back, because nothing was sent. */
+    fun onDecided(
+        token: Long,
+        outcome: ClaimOutcome,
+    ) {
+        val waiter = waiting.remove(token)
+        if (waiter != null) {
+            waiter.complete(outcome)
+        } else if (outcome is ClaimOutcome.Granted) {
+            release(token)
+        }
+    }
+
+    /** Stops waiting; an outcome that came at the same moment is given back, too. */
+    private fun abandon(token: Long) {
+        if (waiting.remove(token) == null) release(token)
+    }
+
+    private fun outcomeOf(
+        token: Long,
+        outcome: ClaimOutcome,
+    ): Outcome<Claim> =
+        when (outcome) {
+            is ClaimOutcome.Granted -> granted(token, outcome)
+            is ClaimOutcome.Duplicate -> duplicate(outcome)
+            is ClaimOutcome.Refused -> refusedFor(outcome.reason)
+        }
+
+    private fun granted(
+        token: Long,
+        outcome: ClaimOutcome.Granted,
+    ): Outcome<Claim> {
+        val nowMs = clock.nowMs()
+        if (nowMs >= outcome.useUntilMs || !mayAct(nowMs)) return unreachable().also { release(token) }
+        return Outcome.Ok(Claim { ran, answer -> if (ran) finish(token, answer is Outcome.Ok) else release(token) })
+    }
+
+    private fun finish(
+        token: Long,
+        isWhole: Boolean,
+    ) = decide {
+        if (isWhole) {
+            claims.finish(clock.nowMs(), token, ClaimPhase.FINISHED, "answered")
+        } else {
+            claims.finish(clock.nowMs(), token, ClaimPhase.UNKNOWN, "")
+        }
+    }
+
+    private fun release(token: Long) = decide { claims.release(clock.nowMs(), token) }
+
+    private fun duplicate(outcome: ClaimOutcome.Duplicate) =
+        when (outcome.phase) {
+            ClaimPhase.RUNNING -> duplicate(RefusalReason.DUPLICATE_RUNNING, "this request id is running")
+            ClaimPhase.UNKNOWN ->
+                duplicate(
+                    RefusalReason.DUPLICATE_FINISHED,
+                    "this request id was sent before, and its outcome is not known",
+                )
+            ClaimPhase.FINISHED -> duplicate(RefusalReason.DUPLICATE_FINISHED, "this request id was answered before")
+        }
+
+    private fun duplicate(
+        reason: RefusalReason,
+        detail: String,
+    ) = refused(reason, Step.CLAIM, detail, ran = Ran.UNKNOWN)
+
+    private fun refusedFor(reason: ClaimRefusal) =
+        when (reason) {
+            ClaimRefusal.UNREACHABLE -> unreachable()
+            ClaimRefusal.NO_RIGHT -> refused(RefusalReason.NOT_IN_SERVICE, Step.CLAIM, "this instance may not act", RETRY_AFTER_MS)
+            ClaimRefusal.FULL -> refused(RefusalReason.OVERLOADED, Step.CLAIM, "too many request ids are remembered", RETRY_AFTER_MS)
+        }
+
+    /** A request that outlives its claim could run a second time while it runs. */
+    private fun tooLong(lastsMs: Long) =
+        refused(RefusalReason.DEADLINE_UNREACHABLE, Step.CLAIM, "a deadline of $lastsMs ms is not below claimTtlMs ${timing.claimTtlMs}")
+
+    private fun unreachable() =
+        refused(
+            RefusalReason.CLAIM_UNREACHABLE,
+            Step.CLAIM,
+            "too few instances could tell whether this request id ran before",
+            RETRY_AFTER_MS,
+        )
+
+    private companion object {
+        const val GRACE_MS = 20L
+        const val RETRY_AFTER_MS = 500L
+
+        /** Stands for callers without a workspace; no workspace can have this id. */
+        val OPEN_ROUTES = WorkspaceId("~open")
+    }
+}
--- a/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/control/Coordinator.kt
@@ -7,6 +7,8 @@
 import io.monsoonpath.app.platform.PlatformClient
 import io.monsoonpath.coordination.Effect
 import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.claims.ClaimTiming
+import io.monsoonpath.coordination.claims.Claims
 import io.monsoonpath.coordination.membership.Membership
 import io.monsoonpath.coordination.membership.MembershipTiming
 import io.monsoonpath.coordination.membership.Standing
@@ -41,8 +43,9 @@
     private val loop = ControlLoop("control")
     private val platform = PlatformClient(settings.platformUrl)
     private val spread = Spread(self, settings.region, settings.failureDomain, clock.nowMs(), self.incarnation.value)
-    private val membership =
-        Membership(self, settings.region, MembershipTiming(settings.timing.rightMs, takeoverMs = settings.timing.takeoverMs), clock.nowMs())
+    private val membershipTiming = MembershipTiming(settings.timing.rightMs, takeoverMs = settings.timing.takeoverMs)
+    private val membership = Membership(self, settings.region, membershipTiming, clock.nowMs())
+    private val claims = Claims(self, claimTiming(settings.timing.claimTtlMs), membershipTiming, clock.nowMs())
 
     private val limits = Limits(self, settings.region, settings.timing.peerTimeoutMs)
     private var passedOn: Standing? = null
@@ -51,6 +54,10 @@
     val limiter: CoordinatedRateLimiter =
         CoordinatedRateLimiter(limits, clock, settings.timing.peerTimeoutMs) { step -> loop.post { carryOutAll(step()) } }
 
+    /** Claims request ids over all instances. */
+    val claimSource: CoordinatedClaimSource =
+        CoordinatedClaimSource(claims, settings.timing, clock, { standing.mayAct(it) }) { step -> loop.post { carryOutAll(step()) } }
+
     @Volatile
     private var addresses = emptyMap<InstanceId, Endpoint>()
     private val transport =
@@ -102,6 +109,7 @@
         carryOut(spread.onTick(clock.nowMs()))
         carryOutAll(membership.onTick(clock.nowMs()))
         passOnStanding()
+        carryOutAll(claims.onTick(clock.nowMs()))
     }
 
     private fun take(
@@ -112,6 +120,7 @@
         carryOutAll(membership.onMessage(clock.nowMs(), from, message))
         passOnStanding()
         carryOutAll(limits.onMessage(clock.nowMs(), from, message))
+        carryOutAll(claims.onMessage(clock.nowMs(), from, message))
     }
 
     /** Tells the other decisions a new standing, before anything else happens under it. */
@@ -120,6 +129,7 @@
         if (standing === passedOn) return
         passedOn = standing
         carryOutAll(limits.onStanding(clock.nowMs(), standing))
+        carryOutAll(claims.onStanding(clock.nowMs(), standing))
     }
 
     private fun carryOutAll(effects: List<Effect>) =
@@ -128,8 +138,9 @@
                 is Effect.Send -> transport.send(effect.to, effect.message)
                 is Effect.Emit -> events.emit(effect.event)
                 is Effect.LimitDecided -> limiter.onDecided(effect.query, effect.decision)
-                // Claims and permits are not driven yet.
-                is Effect.ClaimDecided, is Effect.PermitDecided -> Unit
+                is Effect.ClaimDecided -> claimSource.onDecided(effect.token, effect.outcome)
+                // Permits are not driven yet.
+                is Effect.PermitDecided -> Unit
             }
         }
 
@@ -174,3 +185,9 @@
         const val LIMIT_TICK_MS = 10L
     }
 }
+
+/** A granted claim is used within a quarter of its time-to-live, and within seconds. */
+private fun claimTiming(ttlMs: Long) = ClaimTiming(ttlMs, useMs = minOf(MAX_CLAIM_USE_MS, ttlMs / CLAIM_USE_PART))
+
+private const val MAX_CLAIM_USE_MS = 5_000L
+private const val CLAIM_USE_PART = 4
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -10,7 +10,6 @@
 import io.monsoonpath.app.peer.PeerSecrets
 import io.monsoonpath.app.peer.readPeerSecrets
 import io.monsoonpath.app.policy.policyPorts
-import io.monsoonpath.app.request.LocalClaimSource
 import io.monsoonpath.app.request.RequestPorts
 import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.model.Incarnation
@@ -52,7 +51,7 @@
     /** The decisions that this instance takes together with its peers. */
     val coordinator = Coordinator(PeerId(settings.instance, incarnation), settings, secrets, clock, events, configurations, reaches)
     private val ports: RequestPorts =
-        policyPorts(clock, settings, currencyGate(state, coordinator, clock), coordinator.limiter, LocalClaimSource(clock))
+        policyPorts(clock, settings, currencyGate(state, coordinator, clock), coordinator.limiter, coordinator.claimSource)
     private val callers =
         CallerServer(settings.caller, settings.limits, clock, events, registry, state, configurations::currentOrNull, ports)
     private val operatorServer = serverAt(settings.operator).operatorRoutes(state::isReady, events, registry, ::status).build()
--- a/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/EntryFilters.kt
@@ -159,7 +159,7 @@
         if (exchange.route.idempotent) {
             next.proceed(exchange)
         } else {
-            when (val claimed = claims.claim(exchange.workspace?.id, exchange.id, CLAIM_TTL_MS)) {
+            when (val claimed = claims.claim(exchange.workspace?.id, exchange.id, exchange.deadlineAtMs - exchange.receivedAtMs)) {
                 is Outcome.Refused -> claimed
                 is Outcome.Ok -> proceedClaimed(exchange, next, claimed.value)
             }
@@ -178,6 +178,3 @@
         claim.finish(exchange.ranOnce, outcome)
     }
 }
-
-/** How long a claim remembers its request id. */
-internal const val CLAIM_TTL_MS = 600_000L
--- a/app/src/main/kotlin/io/monsoonpath/app/request/LocalClaimSource.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/LocalClaimSource.kt
@@ -26,11 +26,11 @@
     override suspend fun claim(
         workspace: WorkspaceId?,
         request: RequestId,
-        ttlMs: Long,
+        lastsMs: Long,
     ): Outcome<Claim> {
         val nowMs = clock.nowMs()
         sweep(nowMs)
-        val entry = Entry(nowMs + ttlMs)
+        val entry = Entry(nowMs + CLAIM_TTL_MS)
         val key = workspace to request
         val former = entries.putIfAbsent(key, entry)
         return when {
@@ -61,5 +61,6 @@
 
     private companion object {
         const val SWEEP_INTERVAL_MS = 1_000L
+        const val CLAIM_TTL_MS = 600_000L
     }
 }
--- a/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/request/Ports.kt
@@ -46,11 +46,11 @@
 
 /** Makes sure that a non-idempotent request runs at most once, whichever instances it is sent through. */
 internal interface ClaimSource {
-    /** Claims [request] of [workspace] for [ttlMs], or refuses because it runs, ran, or cannot be claimed. */
+    /** Claims [request] of [workspace], which runs for [lastsMs] at most, or refuses because it runs, ran, or cannot be claimed. */
     suspend fun claim(
         workspace: WorkspaceId?,
         request: RequestId,
-        ttlMs: Long,
+        lastsMs: Long,
     ): Outcome<Claim>
 }
 
--- a/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/standin/DemoDocuments.kt
@@ -80,7 +80,7 @@
         operator = anyPort,
         platformUrl = platformUrl,
         peerSecretFile = demoSecretFile,
-        timing = TimingSettings(shutdownGraceMs = 0, rightMs = 1_000, takeoverMs = 1_500),
+        timing = TimingSettings(shutdownGraceMs = 0, rightMs = 1_000, takeoverMs = 1_500, claimTtlMs = 5_000),
     )
 }
 
--- a/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Settings.kt
@@ -59,6 +59,7 @@
  * @property shutdownGraceMs how long new requests are still taken after readiness turned false
  * @property shutdownDrainMs how long running requests may take to complete after that
  * @property rightMs how long the right to act lasts after it was vouched for
+ * @property claimTtlMs how long a request id that may not run twice is remembered; longer than any deadline of such a request
  * @property takeoverMs how long a fleet that started as a whole, or lost a majority at once, waits before it takes over what was held
  * @property peerTimeoutMs the longest wait for a peer's answer within a request
  */
@@ -68,5 +69,6 @@
     val shutdownDrainMs: Long = 30_000,
     val rightMs: Long = 3_000,
     val takeoverMs: Long = 60_000,
+    val claimTtlMs: Long = 120_000,
     val peerTimeoutMs: Long = 150,
 )
--- a/model/src/main/kotlin/io/monsoonpath/model/Validation.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Validation.kt
@@ -161,6 +161,7 @@
     problems.requireIn(timing.shutdownDrainMs, 0L..3_600_000, "$.timing.shutdownDrainMs")
     problems.requireIn(timing.rightMs, 500L..120_000, "$.timing.rightMs")
     problems.requireIn(timing.takeoverMs, 500L..3_600_000, "$.timing.takeoverMs")
+    problems.requireIn(timing.claimTtlMs, 1_000L..3_600_000, "$.timing.claimTtlMs")
     problems.requireIn(timing.peerTimeoutMs, 5L..10_000, "$.timing.peerTimeoutMs")
     return problems.reading(this)
 }
