--- a/app/src/main/kotlin/io/monsoonpath/app/demo/DemoFleet.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/DemoFleet.kt
@@ -128,7 +128,11 @@
         instances: List<EntryInstance> = this.instances,
     ): List<Reply> = (0 until count).map { send(instances[it % instances.size], path, workspace) }.map { it.join() }
 
-    /** Waits until request ids can be claimed: a started fleet does not know which ids ran before it. */
+    /**
+     * Waits until request ids can be claimed: a started fleet does not know which ids ran before it.
+     *
+     * By then the limits, which start empty, have filled, too.
+     */
     fun awaitClaims() = awaitWithin(TIMEOUT_MS, "orders are taken") { sendMany(2 * instances.size, ORDER).all { it is Reply.Whole } }
 
     /** Returns how many calls the backend servers in [domain] have received. */
--- a/app/src/main/kotlin/io/monsoonpath/app/demo/Sessions.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/Sessions.kt
@@ -99,6 +99,7 @@
     fleet: DemoFleet,
     transcript: Transcript,
 ) {
+    fleet.awaitClaims()
     transcript.checkWhole("the key works", fleet.sendMany(3))
     transcript.publish(fleet, Edit.WithdrawKey(DEMO_KEYS.getValue(LARGE).spec.id), showDifferences = false)
     val replies = fleet.sendMany(9)
