Handle messages to oneself in one place

Cause: claims and permits each held the same loop that handles a message to the own process at once. Change: both call deliverLocally; nothing else changes.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/Claims.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/claims/Claims.kt
@@ -5,6 +5,7 @@
 import io.monsoonpath.coordination.Effect
 import io.monsoonpath.coordination.GrantId
 import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.coordination.deliverLocally
 import io.monsoonpath.coordination.membership.MembershipTiming
 import io.monsoonpath.coordination.membership.Standing
 import io.monsoonpath.coordination.message.ClaimAck
@@ -209,19 +210,8 @@
         return deliver(nowMs) { it += notices.send(nowMs, attempt.id, message, attempt.askedHomes + homes) }
     }
 
-    /** Collects the effects of [step]; messages to the own process are handled at once instead of being sent. */
     private fun deliver(
         nowMs: Long,
         step: (MutableList<Effect>) -> Unit,
-    ): List<Effect> {
-        val queue = ArrayList<Effect>()
-        step(queue)
-        val out = ArrayList<Effect>()
-        var i = 0
-        while (i < queue.size) {
-            val effect = queue[i++]
-            if (effect is Effect.Send && effect.to == self.id) queue += handle(nowMs, self, effect.message) else out += effect
-        }
-        return out
-    }
+    ): List<Effect> = deliverLocally(self.id, { handle(nowMs, self, it) }, step)
 }
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/Permits.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/permits/Permits.kt
@@ -5,6 +5,7 @@
 import io.monsoonpath.coordination.PeerId
 import io.monsoonpath.coordination.PermitOutcome
 import io.monsoonpath.coordination.PermitRefusal
+import io.monsoonpath.coordination.deliverLocally
 import io.monsoonpath.coordination.membership.MembershipTiming
 import io.monsoonpath.coordination.membership.Standing
 import io.monsoonpath.coordination.membership.resourceOf
@@ -284,19 +285,8 @@
 
     private fun forget(token: Long): PermitAttempt? = attempts.remove(token)?.also { tokens.remove(it.id.number) }
 
-    /** Collects the effects of [step]; messages to the own process are handled at once instead of being sent. */
     private fun deliver(
         nowMs: Long,
         step: (MutableList<Effect>) -> Unit,
-    ): List<Effect> {
-        val queue = ArrayList<Effect>()
-        step(queue)
-        val out = ArrayList<Effect>()
-        var i = 0
-        while (i < queue.size) {
-            val effect = queue[i++]
-            if (effect is Effect.Send && effect.to == self.id) queue += handle(nowMs, self, effect.message) else out += effect
-        }
-        return out
-    }
+    ): List<Effect> = deliverLocally(self.id, { handle(nowMs, self, it) }, step)
 }
