--- a/app/src/main/kotlin/io/monsoonpath/app/http/RequestReading.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/RequestReading.kt
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
 import io.monsoonpath.app.request.refused
+import io.monsoonpath.model.NestingGauge
 import io.monsoonpath.model.Outcome
 import io.monsoonpath.model.RefusalReason
 import io.monsoonpath.model.RequestId
@@ -82,22 +83,8 @@
 
 /** Bounds the nesting before parsing, because the parser recurses once a level. */
 private fun isTooDeep(body: ByteArray): Boolean {
-    var depth = 0
-    var inString = false
-    var escaped = false
-    for (byte in body) {
-        val c = byte.toInt().toChar()
-        when {
-            escaped -> escaped = false
-            inString && c == '\\' -> escaped = true
-            c == '"' -> inString = !inString
-            inString -> Unit
-            c == '{' || c == '[' -> depth++
-            c == '}' || c == ']' -> depth--
-        }
-        if (depth > MAX_BODY_DEPTH) return true
-    }
-    return false
+    val gauge = NestingGauge()
+    return body.any { gauge.depthAfter(it.toInt().toChar()) > MAX_BODY_DEPTH }
 }
 
 private const val BEARER = "Bearer "
--- a/model/src/main/kotlin/io/monsoonpath/model/Documents.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Documents.kt
@@ -54,21 +54,9 @@
 
 /** Bounds the nesting before parsing, because the parser recurses once a level. */
 private fun depthProblem(text: String): Problem? {
-    var depth = 0
-    var inString = false
-    var escaped = false
-    for (c in text) {
-        when {
-            escaped -> escaped = false
-            inString && c == '\\' -> escaped = true
-            c == '"' -> inString = !inString
-            inString -> Unit
-            c == '{' || c == '[' -> depth++
-            c == '}' || c == ']' -> depth--
-        }
-        if (depth > MAX_DEPTH) return Problem("$", "nesting", "must be at most $MAX_DEPTH levels deep")
-    }
-    return null
+    val gauge = NestingGauge()
+    val isTooDeep = text.any { gauge.depthAfter(it) > MAX_DEPTH }
+    return if (isTooDeep) Problem("$", "nesting", "must be at most $MAX_DEPTH levels deep") else null
 }
 
 /** Turns the parser's message into a problem: its path, and its first line as value and rule. */
