Wait for conditions, and ask for the revision in force, in one place

Cause: the demonstration and the tests each held a wait for a condition, and the tests' version kept a core busy. The sessions searched all kept events for the revision in force at each poll. Change: one awaitWithin, which parks between polls; EntryInstance tells the revision of the store that requests read. Ruled out: the revision that the spread knows, because it is ahead of the store for a moment.

--- a/app/src/main/kotlin/io/monsoonpath/app/demo/DemoFleet.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/DemoFleet.kt
@@ -133,7 +133,9 @@
      *
      * By then the limits, which start empty, have filled, too.
      */
-    fun awaitClaims() = awaitWithin(TIMEOUT_MS, "orders are taken") { sendMany(2 * instances.size, ORDER).all { it is Reply.Whole } }
+    fun awaitClaims() {
+        awaitWithin(TIMEOUT_MS, "orders are taken") { sendMany(2 * instances.size, ORDER).all { it is Reply.Whole } }
+    }
 
     /** Returns how many calls the backend servers in [domain] have received. */
     fun callsIn(domain: String): Int = backends.filterKeys { it.value.endsWith("-$domain") }.values.sumOf { it.received.size }
@@ -161,16 +163,19 @@
 /**
  * Waits until [condition] holds.
  *
+ * @return how long that took, in milliseconds
  * @throws TimeoutException if it does not within [limitMs]
  */
 internal fun awaitWithin(
     limitMs: Long,
     what: String,
     condition: () -> Boolean,
-) {
-    val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs)
-    while (!condition()) {
-        if (System.nanoTime() >= endNs) throw TimeoutException("not within $limitMs ms: $what")
+): Long {
+    val startNs = System.nanoTime()
+    while (true) {
+        val tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)
+        if (condition()) return tookMs
+        if (tookMs >= limitMs) throw TimeoutException("not within $limitMs ms: $what")
         LockSupport.parkNanos(POLL_NS)
     }
 }
--- a/app/src/main/kotlin/io/monsoonpath/app/demo/Sessions.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/demo/Sessions.kt
@@ -171,7 +171,7 @@
     transcript.checkWhole("every match is answered whole", fleet.sendMany(30))
     fleet.publish(Edit.SetWorkspace(SMALL, burst = 2 * SMALL_BURST))
     transcript.checkWhole("service goes on with what is in force", fleet.sendMany(30))
-    transcript.check("no instance invents a newer configuration", fleet.instances.all { it.revisionInForce() == 1L })
+    transcript.check("no instance invents a newer configuration", fleet.instances.all { it.revision.value == 1L })
     fleet.platform.isDown = false
     transcript.note("the platform comes back")
     transcript.checkAdopted(fleet)
@@ -222,7 +222,7 @@
 
 private fun Transcript.checkAdopted(fleet: DemoFleet) {
     val revision = fleet.configuration.revision.value
-    awaitWithin(TIMEOUT_MS, "revision $revision on all") { fleet.instances.all { it.revisionInForce() == revision } }
+    awaitWithin(TIMEOUT_MS, "revision $revision on all") { fleet.instances.all { it.revision.value == revision } }
     check("revision $revision is in force on all instances", holds = true)
 }
 
@@ -240,9 +240,6 @@
 
 private fun EntryInstance.attemptsSent(): Int = events.after(0).count { (it.event as? Event.AttemptSent)?.stage?.value == MATCH_STAGES[0] }
 
-private fun EntryInstance.revisionInForce(): Long =
-    events.after(0).mapNotNull { it.event as? Event.ConfigurationAdopted }.maxOfOrNull { it.revision.value } ?: 0
-
 private val ANSWER_FORM =
     Regex("""^\{"by":"generate-fd\d","of":\{"by":"rerank-fd\d","of":\{"by":"retrieve-fd\d","of":\{"by":"encode-fd\d","of":\{"id":""")
 private const val MICRO = 1_000_000L
--- a/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/EntryInstance.kt
@@ -12,6 +12,7 @@
 import io.monsoonpath.app.policy.policyPorts
 import io.monsoonpath.app.request.RequestPorts
 import io.monsoonpath.coordination.PeerId
+import io.monsoonpath.model.ConfigRevision
 import io.monsoonpath.model.Incarnation
 import io.monsoonpath.model.InstanceId
 import io.monsoonpath.model.Settings
@@ -68,6 +69,9 @@
     /** The id in the platform's instance list. */
     val id: InstanceId get() = settings.instance
 
+    /** The configuration that requests are served by. */
+    val revision: ConfigRevision get() = configurations.revision
+
     /** The port on which callers are served. */
     val callerPort: Int get() = callers.port
 
@@ -107,7 +111,7 @@
             failureDomain = settings.failureDomain,
             ready = isReady(),
             stopping = state.isStopping,
-            configuration = configurations.revision,
+            configuration = revision,
             rejectedDocuments = configurations.rejections.count,
             lastProblems = configurations.rejections.lastProblems,
             runningRequests = callers.runningCount,
--- a/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/FleetTest.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.app.control
 
 import com.linecorp.armeria.common.HttpStatus
+import io.monsoonpath.app.demo.awaitWithin
 import io.monsoonpath.app.http.EntryInstance
 import io.monsoonpath.model.Configuration
 import org.junit.jupiter.api.DynamicTest.dynamicTest
--- a/app/src/test/kotlin/io/monsoonpath/app/control/LoopbackFleet.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/control/LoopbackFleet.kt
@@ -16,7 +16,6 @@
 import io.monsoonpath.model.Configuration
 import io.monsoonpath.model.InstanceId
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
 
 /** Entry instances on the loopback address, each with a platform of its own that can fail alone. */
 internal class LoopbackFleet(
@@ -80,18 +79,3 @@
         (instances.map { it as AutoCloseable } + platforms + backend).parallelStream().forEach { it.close() }
     }
 }
-
-/** Waits until [condition] holds; returns how long that took, in milliseconds. */
-internal fun awaitWithin(
-    limitMs: Long,
-    what: String,
-    condition: () -> Boolean,
-): Long {
-    val startNs = System.nanoTime()
-    while (true) {
-        val tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs)
-        if (condition()) return tookMs
-        check(tookMs < limitMs) { "not within $limitMs ms: $what" }
-        Thread.onSpinWait()
-    }
-}
