Log the parts of a prompt and how far an answer had got

Callers saw: streams of one kind broken off, one engine after the other gone. The log could not tell them apart, because no line named what a request held, and attempt.ended did not say whether an answer had begun.

Change: request.begun has the ids of the prompt's parts; attempt.ended has the times of the head and of the first content. No decision changes.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -77,6 +77,8 @@
     private var head: ResponseHead? = null
     private var isFinished = false
     private var hasRecordedResponse = false
+    private var headAtMs: Long? = null
+    private var firstContentAtMs: Long? = null
 
     /** Sends the request; [number] is the number of this attempt, from 1. */
     fun start(number: Int) {
@@ -146,6 +148,7 @@
     override fun onHead(response: HttpResponse) {
         val decoded = services.codec.decode(response)
         head = decoded
+        headAtMs = services.clock.nowMs()
         relay.head(response)
         if (!canRelay(response, decoded)) {
             exchange?.cancel()
@@ -177,6 +180,7 @@
 
     private fun handleFirstContent() {
         hasRecordedResponse = true
+        firstContentAtMs = services.clock.nowMs()
         recordResponse()
         if (head?.status in SUCCESS_STATUS) onResult(AttemptResult.FirstByte)
     }
@@ -235,6 +239,8 @@
             "backend" to server.id,
             "end" to outcome,
             "detail" to detail,
+            "headMs" to headAtMs?.let { it - startedAtMs },
+            "firstContentMs" to firstContentAtMs?.let { it - startedAtMs },
             "tookMs" to services.clock.nowMs() - startedAtMs,
         )
         afterEnd()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -51,6 +51,10 @@
             "rank" to context.rank,
             "config" to context.table.revision.value,
             "remainingMs" to context.deadlineAtMs - nowMs(),
+            "parts" to
+                context.head.promptParts
+                    .joinToString(",") { it.id }
+                    .ifEmpty { null },
         )
         services.scheduler.schedule(context.deadlineAtMs - DEADLINE_MARGIN_MS - nowMs()) { handleDeadline() }
         if (route.stages.isEmpty()) proceed() else checkAdmission()
