Quarantine prompt parts that crash backend servers

Cause: a lost attempt counted as a fault of the server only. The server was ejected and the next such request, or the same one again, went to another; nothing linked the crashes by what the requests held, and each instance saw only its own share of them. Class: a request that kills its server, met by retrying it elsewhere.

Change: CrashDetector tells a crash from a lost answer; CrashEvidence is shared by all instances over datagrams and digests; findQuarantines (pure) finds the combination of parts that explains the crashes; RequestRun refuses matching requests before anything is sent and withdraws those that wait. Bytes that are no message no longer reach the handler of internal errors: the CBOR library reports cut input as IllegalStateException, which GossipCodec and PeerTransport did not expect (found by a fuzz test).

QuarantineSimulationTest: 180 runs in virtual time with lost messages, freezes, joins, several parts and other crashes.

--- /dev/null
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/EvidenceMessage.kt
@@ -0,0 +1,128 @@
+package io.monsoonpath.coordination.crash
+
+import io.monsoonpath.coordination.message.decodeCborOrNull
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.PromptPartId
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+
+/** A datagram of one instance to another. */
+sealed interface EvidenceMessage {
+    /** The digest of the sender's evidence. A receiver with another one replies with its own evidence. */
+    class Digest(
+        val value: Long,
+    ) : EvidenceMessage
+
+    /** Evidence to merge. */
+    class Evidence(
+        val delta: EvidenceDelta,
+    ) : EvidenceMessage
+}
+
+/** Encodes evidence for datagrams. Times are sent as ages, because the clocks of instances are not compared. */
+@OptIn(ExperimentalSerializationApi::class)
+object EvidenceCodec {
+    /** Returns the datagrams for [message], each of about a kilobyte. */
+    fun encode(
+        message: EvidenceMessage,
+        nowMs: Long,
+    ): List<ByteArray> =
+        when (message) {
+            is EvidenceMessage.Digest -> listOf(encode(Datagram(digest = message.value)))
+            is EvidenceMessage.Evidence ->
+                message.delta.reports.map { encode(Datagram(report = encode(it, nowMs))) } +
+                    message.delta.clearances
+                        .flatMap { clearance -> clearance.parts.chunked(MAX_PARTS).map { Clearance(clearance.crash, it.toSet()) } }
+                        .map { encode(Datagram(clearance = encode(it))) }
+        }
+
+    /** Decodes [bytes], received at [nowMs], or returns null if they are not a valid message. */
+    fun decodeOrNull(
+        bytes: ByteArray,
+        nowMs: Long,
+    ): EvidenceMessage? {
+        val datagram = decodeCborOrNull<Datagram>(bytes) ?: return null
+        return when {
+            datagram.digest != null -> EvidenceMessage.Digest(datagram.digest)
+            datagram.report != null -> decode(datagram.report, nowMs)?.let { EvidenceMessage.Evidence(EvidenceDelta(listOf(it))) }
+            datagram.clearance != null -> EvidenceMessage.Evidence(EvidenceDelta(clearances = listOf(decode(datagram.clearance))))
+            else -> null
+        }
+    }
+
+    private fun encode(datagram: Datagram): ByteArray = Cbor.encodeToByteArray(datagram)
+
+    private fun encode(
+        report: CrashReport,
+        nowMs: Long,
+    ) = ReportRecord(
+        report.id.host,
+        report.id.incarnation,
+        report.id.number,
+        report.crash.backend.value,
+        report.crash.startedAtUnixMs,
+        ageMs = nowMs - report.atMs,
+        report.suspects.map { SuspectRecord(it.sentBeforeMs, it.parts.map(PromptPartId::value)) },
+    )
+
+    private fun encode(clearance: Clearance) =
+        ClearanceRecord(clearance.crash.backend.value, clearance.crash.startedAtUnixMs, clearance.parts.map(PromptPartId::value))
+
+    private fun decode(
+        record: ReportRecord,
+        nowMs: Long,
+    ): CrashReport? {
+        val isValid = record.ageMs >= 0 && record.suspects.size <= MAX_SUSPECTS && record.suspects.all { it.parts.size <= MAX_PARTS }
+        if (!isValid) return null
+        return CrashReport(
+            ReportId(record.host, record.incarnation, record.number),
+            CrashId(BackendId(record.backend), record.startedAtUnixMs),
+            atMs = nowMs - record.ageMs,
+            record.suspects.map { ReportedSuspect(it.sentBeforeMs, it.parts.mapTo(HashSet(), ::PromptPartId)) },
+        )
+    }
+
+    private fun decode(record: ClearanceRecord) =
+        Clearance(CrashId(BackendId(record.backend), record.startedAtUnixMs), record.parts.mapTo(HashSet(), ::PromptPartId))
+
+    /** The maximum number of suspects of one report, so that it fits into a datagram. */
+    const val MAX_SUSPECTS = 8
+
+    /** The maximum number of parts of one suspect, and of parts in one datagram of a clearance. */
+    const val MAX_PARTS = 32
+}
+
+/** Exactly one of the fields is set. */
+@Serializable
+private class Datagram(
+    @SerialName("d") val digest: Long? = null,
+    @SerialName("r") val report: ReportRecord? = null,
+    @SerialName("c") val clearance: ClearanceRecord? = null,
+)
+
+@Serializable
+private class ReportRecord(
+    @SerialName("h") val host: String,
+    @SerialName("i") val incarnation: Long,
+    @SerialName("n") val number: Long,
+    @SerialName("b") val backend: String,
+    @SerialName("s") val startedAtUnixMs: Long,
+    @SerialName("a") val ageMs: Long,
+    @SerialName("q") val suspects: List<SuspectRecord>,
+)
+
+@Serializable
+private class SuspectRecord(
+    @SerialName("t") val sentBeforeMs: Long,
+    @SerialName("p") val parts: List<String>,
+)
+
+@Serializable
+private class ClearanceRecord(
+    @SerialName("b") val backend: String,
+    @SerialName("s") val startedAtUnixMs: Long,
+    @SerialName("p") val parts: List<String>,
+)
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/GossipCodec.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/GossipCodec.kt
@@ -1,9 +1,8 @@
 package io.monsoonpath.coordination.gossip
 
+import io.monsoonpath.coordination.message.decodeCborOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
 /** Encodes gossip messages as CBOR for a datagram. */
@@ -13,10 +12,5 @@
     fun encode(message: GossipMessage): ByteArray = Cbor.encodeToByteArray(message)
 
     /** Decodes [bytes], or returns null if they are not a valid gossip message. */
-    fun decodeOrNull(bytes: ByteArray): GossipMessage? =
-        try {
-            Cbor.decodeFromByteArray<GossipMessage>(bytes)
-        } catch (_: SerializationException) {
-            null
-        }
+    fun decodeOrNull(bytes: ByteArray): GossipMessage? = decodeCborOrNull(bytes)
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -6,6 +6,8 @@
 import io.monsoonpath.gateway.choice.FleetView
 import io.monsoonpath.gateway.choice.RetryBudgets
 import io.monsoonpath.gateway.config.ConfigurationHolder
+import io.monsoonpath.gateway.crash.CrashDetector
+import io.monsoonpath.gateway.crash.CrashQuarantine
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.directory.BackendServer
@@ -18,6 +20,7 @@
 import io.monsoonpath.gateway.metrics.GatewayMetrics
 import io.monsoonpath.gateway.peer.DistributedPieceExecutor
 import io.monsoonpath.gateway.peer.DocumentReplica
+import io.monsoonpath.gateway.peer.EvidenceExchange
 import io.monsoonpath.gateway.peer.Membership
 import io.monsoonpath.gateway.peer.PeerDocumentSync
 import io.monsoonpath.gateway.peer.PeerTransport
@@ -38,7 +41,8 @@
  * The settings of a gateway.
  *
  * @property callerAddress the address on which this instance listens for callers
- * @property peerAddress the address on which this instance listens for peers, over UDP and TCP; all instances use the same port
+ * @property peerAddress the address on which this instance listens for peers, over UDP and TCP, and on the next port over UDP; all
+ * instances use the same ports
  * @property seeds the hosts of a few instances, some of which may no longer exist
  * @property incarnation a number that increases with each start of the process
  * @property maxMembers the configured maximum number of instances that run at the same time
@@ -90,6 +94,28 @@
     private val transport = PeerTransport(loop, settings.peerAddress, log)
     private val pieceExecutor =
         DistributedPieceExecutor(settings.peerAddress, transport, membership, localExecutor, Backlogs(clock), clock, log)
+    private val crashQuarantine =
+        CrashQuarantine(settings.peerAddress.host, settings.incarnation, ::fleetView, clock, scheduler, log)
+    private val crashDetector =
+        CrashDetector(
+            clock,
+            scheduler,
+            directory,
+            log,
+            { server, onResult -> connectionPools.poolFor(server).probe(onResult) },
+            crashQuarantine::recordCrash,
+        )
+    private val evidenceExchange =
+        EvidenceExchange(
+            loop,
+            settings.peerAddress.copy(port = settings.peerAddress.port + 1),
+            membership,
+            crashQuarantine,
+            clock,
+            scheduler,
+            log,
+            Random(settings.incarnation),
+        )
     private val services =
         RequestServices(
             clock,
@@ -106,6 +132,8 @@
             StandingQueueDetector(),
             codecs.backend,
             pieceExecutor,
+            crashDetector,
+            crashQuarantine,
             log,
             metrics,
         )
@@ -117,6 +145,7 @@
     init {
         metrics.gauge("monsoonpath_log_dropped_lines") { log.dropped }
         metrics.gauge("monsoonpath_caller_connections") { callerServer.connectionCount }
+        metrics.gauge("monsoonpath_quarantines") { crashQuarantine.size }
         metrics.gauge("monsoonpath_members") { membership.liveMembers.size }
         directory.onChange { id ->
             if (directory[id] != null) return@onChange
@@ -130,6 +159,8 @@
     fun start() {
         membership.start()
         transport.start()
+        crashQuarantine.publisher = evidenceExchange
+        evidenceExchange.start()
         callerServer.start()
         scheduler.scheduleRepeatedly(CLOSE_EXPIRED_INTERVAL_MS, connectionPools::closeExpired)
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendSelector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendSelector.kt
@@ -117,7 +117,7 @@
     }
 
     /** Returns the last part that other requests may share: the one before the last, which is specific to the request. */
-    private fun sharedPartOf(parts: List<PromptPart>): String? = (parts.getOrNull(parts.size - 2) ?: parts.lastOrNull())?.id
+    private fun sharedPartOf(parts: List<PromptPart>): String? = (parts.getOrNull(parts.size - 2) ?: parts.lastOrNull())?.id?.value
 
     /** Returns the work that precedes a new request at [server], in tokens. */
     private fun pendingTokens(
--- /dev/null
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
@@ -0,0 +1,137 @@
+package io.monsoonpath.gateway.crash
+
+import io.monsoonpath.coordination.crash.CrashId
+import io.monsoonpath.coordination.crash.ReportedSuspect
+import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.directory.BackendDirectory
+import io.monsoonpath.gateway.directory.BackendServer
+import io.monsoonpath.gateway.directory.BackendState
+import io.monsoonpath.gateway.http.ProbeResult
+import io.monsoonpath.gateway.log.DecisionLog
+import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.PromptPartId
+
+/**
+ * An attempt that its backend server has not yet proven that it can answer.
+ *
+ * @property parts the parts of its prompt that other requests may share
+ */
+class UnprovenAttempt(
+    val server: BackendServer,
+    val parts: Set<PromptPartId>,
+    val sentAtMs: Long,
+)
+
+/**
+ * Detects crashes of backend servers by the loss of attempts, and determines which requests may have caused them.
+ *
+ * A lost connection alone is no crash: servers also lose single answers, and connections are reset on the way. A crash is certain if the
+ * server then refuses new connections, or if its entry is removed or replaced by that of a new incarnation soon afterwards. Servers that
+ * are leaving are expected to go. Must be used on the event loop only.
+ *
+ * @param probe opens a connection to a server to find out whether it still runs
+ * @param onCrash called with each crash and the requests of this instance that may have caused it; again if more of them are lost later
+ */
+class CrashDetector(
+    private val clock: ClockMs,
+    private val scheduler: Scheduler,
+    private val directory: BackendDirectory,
+    private val log: DecisionLog,
+    private val probe: (BackendServer, (ProbeResult) -> Unit) -> Unit,
+    private val onCrash: (CrashId, Long, List<ReportedSuspect>) -> Unit,
+) {
+    /** A server that lost an attempt at [atMs] and may have crashed. */
+    private class Loss(
+        val server: BackendServer,
+        val atMs: Long,
+    ) {
+        val suspects = ArrayList<UnprovenAttempt>()
+        var isConfirmed = false
+    }
+
+    private val running = HashMap<CrashId, LinkedHashSet<UnprovenAttempt>>()
+    private val losses = HashMap<CrashId, Loss>()
+
+    init {
+        directory.onChange(::handleDirectoryChange)
+    }
+
+    /** Records that [attempt] was sent. */
+    fun recordStart(attempt: UnprovenAttempt) {
+        running.getOrPut(crashIdOf(attempt.server)) { LinkedHashSet() } += attempt
+    }
+
+    /** Records that [attempt] was answered, refused or cancelled, so that it can no longer crash its server. */
+    fun recordEnd(attempt: UnprovenAttempt) {
+        val id = crashIdOf(attempt.server)
+        val attempts = running[id] ?: return
+        attempts -= attempt
+        if (attempts.isEmpty()) running.remove(id)
+    }
+
+    /** Records that the connection of [attempt] was lost. */
+    fun recordLoss(attempt: UnprovenAttempt) {
+        recordEnd(attempt)
+        val id = crashIdOf(attempt.server)
+        val known = losses[id]
+        when {
+            known == null -> if (isExpectedToRun(attempt.server)) watch(id, attempt)
+            known.isConfirmed -> report(id, known, listOf(attempt))
+            else -> known.suspects += attempt
+        }
+    }
+
+    private fun watch(
+        id: CrashId,
+        attempt: UnprovenAttempt,
+    ) {
+        val loss = Loss(attempt.server, clock.nowMs())
+        loss.suspects += attempt
+        losses[id] = loss
+        probe(attempt.server) { result -> if (result == ProbeResult.REFUSED) confirm(id, "connection refused") }
+        scheduler.schedule(CONFIRMATION_TIMEOUT_MS) { losses.remove(id) }
+    }
+
+    private fun isExpectedToRun(server: BackendServer): Boolean =
+        directory[server.id]?.let { it.startedAtUnixMs == server.startedAtUnixMs && it.state == BackendState.READY } == true
+
+    private fun handleDirectoryChange(backend: BackendId) {
+        val current = directory[backend]
+        losses
+            .filter { (id, _) -> id.backend == backend && id.startedAtUnixMs != current?.startedAtUnixMs }
+            .keys
+            .forEach { confirm(it, if (current == null) "entry removed" else "new incarnation") }
+    }
+
+    private fun confirm(
+        id: CrashId,
+        evidence: String,
+    ) {
+        val loss = losses[id]?.takeUnless { it.isConfirmed } ?: return
+        loss.isConfirmed = true
+        // The connections of these attempts are broken too, even if this process has not noticed it yet.
+        val suspects = loss.suspects + running.remove(id).orEmpty()
+        log.line(
+            "backend.crashed",
+            "backend" to id.backend,
+            "pool" to loss.server.pool,
+            "evidence" to evidence,
+            "suspects" to suspects.size,
+        )
+        report(id, loss, suspects)
+    }
+
+    private fun report(
+        id: CrashId,
+        loss: Loss,
+        suspects: List<UnprovenAttempt>,
+    ) = onCrash(id, loss.atMs, suspects.map { ReportedSuspect((loss.atMs - it.sentAtMs).coerceAtLeast(0), it.parts) })
+
+    private fun crashIdOf(server: BackendServer) = CrashId(server.id, server.startedAtUnixMs)
+
+    private companion object {
+        /** The entry of a crashed server expires after three heartbeats, and its removal is known everywhere within seconds. */
+        const val CONFIRMATION_TIMEOUT_MS = 8_000L
+    }
+}
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Codecs.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Codecs.kt
@@ -4,6 +4,7 @@
 import io.monsoonpath.gateway.directory.BackendServer
 import io.monsoonpath.gateway.stage.Piece
 import io.monsoonpath.gateway.stage.PieceResult
+import io.monsoonpath.model.PromptPartId
 import io.monsoonpath.model.RequestId
 import io.monsoonpath.model.WorkspaceId
 import io.netty.buffer.ByteBuf
@@ -14,7 +15,7 @@
 
 /** Represents a part of a prompt, with its length in [tokens]; other requests may share it. */
 data class PromptPart(
-    val id: String,
+    val id: PromptPartId,
     val tokens: Int,
 )
 
@@ -38,7 +39,10 @@
     val lastEventId: String?,
     val stagePieceCounts: List<Int>,
     val inputKey: String?,
-)
+) {
+    /** The parts of the prompt that other requests may share. The last part is specific to the request or its session. */
+    val sharedPartIds: Set<PromptPartId> = promptParts.dropLast(1).mapTo(LinkedHashSet()) { it.id }
+}
 
 /** The result of decoding the head of a caller's request. */
 sealed interface DecodedHead {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
@@ -7,6 +7,8 @@
 enum class ExchangeFailure(
     /** Whether it is certain that the server did not receive the request. */
     val isUnsent: Boolean = false,
+    /** Whether the connection ended while a response was due, as when the server crashes. */
+    val isConnectionLoss: Boolean = false,
 ) {
     /** No connection could be established. */
     NOT_CONNECTED(isUnsent = true),
@@ -15,10 +17,10 @@
     NO_CONNECTION_FREE(isUnsent = true),
 
     /** The connection was closed before the head of the response. */
-    CLOSED_BEFORE_HEAD,
+    CLOSED_BEFORE_HEAD(isConnectionLoss = true),
 
     /** The connection was closed or failed within the response. */
-    CUT,
+    CUT(isConnectionLoss = true),
 
     /** The received bytes are not an HTTP response. */
     MALFORMED,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
 import jdk.net.ExtendedSocketOptions
+import java.net.ConnectException
 import java.net.InetSocketAddress
 
 /** Counts connections to servers. */
@@ -23,6 +25,18 @@
     fun opened()
 }
 
+/** The result of opening a connection to a server only to find out whether it runs. */
+enum class ProbeResult {
+    /** The server accepted the connection. */
+    CONNECTED,
+
+    /** Nothing listens at the address: the process of the server has ended. */
+    REFUSED,
+
+    /** The connection could not be opened for another reason, such as a partition. */
+    NO_RESPONSE,
+}
+
 /** The limits for the connections of this instance to one server. */
 data class ConnectionPoolLimits(
     /** The maximum number of simultaneous connections. */
@@ -114,7 +128,25 @@
         }
     }
 
-    private fun connect(exchange: PendingExchange) {
+    /**
+     * Opens a connection to find out whether the server accepts connections, and calls [onResult] with the result. The connection is kept
+     * for the next exchange.
+     */
+    fun probe(onResult: (ProbeResult) -> Unit) =
+        open { future, connection ->
+            if (future.isSuccess) release(connection, limits.defaultIdleTimeoutMs)
+            onResult(
+                when {
+                    future.isSuccess -> ProbeResult.CONNECTED
+                    future.cause() is ConnectException && future.cause() !is ConnectTimeoutException -> ProbeResult.REFUSED
+                    else -> ProbeResult.NO_RESPONSE
+                },
+            )
+        }
+
+    private fun connect(exchange: PendingExchange) = open { future, connection -> onConnected(future, connection, exchange) }
+
+    private fun open(onDone: (ChannelFuture, ServerConnection) -> Unit) {
         openCount++
         counters.opened()
         val connection = ServerConnection(clock, log, ::release)
@@ -123,7 +155,7 @@
             openCount--
             idleConnections.remove(connection)
         }
-        future.addListener { _ -> onConnected(future, connection, exchange) }
+        future.addListener { _ -> onDone(future, connection) }
     }
 
     private fun onConnected(
--- /dev/null
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
@@ -0,0 +1,122 @@
+package io.monsoonpath.gateway.peer
+
+import io.monsoonpath.coordination.crash.EvidenceCodec
+import io.monsoonpath.coordination.crash.EvidenceDelta
+import io.monsoonpath.coordination.crash.EvidenceMessage
+import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.crash.CrashQuarantine
+import io.monsoonpath.gateway.crash.EvidencePublisher
+import io.monsoonpath.gateway.directory.Address
+import io.monsoonpath.gateway.log.DecisionLog
+import io.monsoonpath.model.ClockMs
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/**
+ * Exchanges evidence on crashes between the instances, as datagrams, because a connection may stay silent for seconds before its loss is
+ * noticed.
+ *
+ * New evidence is sent at once to all instances of a small fleet, and to a few of a large one, which forward it. Whatever is lost is
+ * repaired by comparing digests with random instances in each round; a new instance receives everything in the same way. Must be used on
+ * the event loop only.
+ *
+ * @param localAddress the address of this instance; all instances use the same port
+ */
+internal class EvidenceExchange(
+    private val loop: EventLoop,
+    private val localAddress: Address,
+    private val membership: Membership,
+    private val quarantine: CrashQuarantine,
+    private val clock: ClockMs,
+    private val scheduler: Scheduler,
+    private val log: DecisionLog,
+    private val random: Random,
+) : EvidencePublisher {
+    private var channel: Channel? = null
+
+    /** Binds the port and starts the rounds. */
+    fun start() {
+        channel =
+            Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel::class.java)
+                .handler(DatagramHandler())
+                .bind(localAddress.host, localAddress.port)
+                .sync()
+                .channel()
+        scheduler.scheduleRepeatedly(ROUND_INTERVAL_MS) { send(randomPeers(DIGEST_FANOUT), EvidenceMessage.Digest(quarantine.digest)) }
+    }
+
+    override fun publish(delta: EvidenceDelta) = send(randomPeers(PUBLISH_FANOUT), EvidenceMessage.Evidence(delta))
+
+    private fun randomPeers(count: Int): List<String> =
+        membership.liveMembers
+            .map { it.host }
+            .filter { it != localAddress.host }
+            .shuffled(random)
+            .take(count)
+
+    private fun send(
+        hosts: List<String>,
+        message: EvidenceMessage,
+    ) {
+        if (hosts.isEmpty()) return
+        val datagrams = EvidenceCodec.encode(message, clock.nowMs())
+        for (host in hosts) {
+            val receiver = InetSocketAddress(host, localAddress.port)
+            datagrams.forEach { channel?.write(DatagramPacket(Unpooled.wrappedBuffer(it), receiver)) }
+        }
+        channel?.flush()
+    }
+
+    private fun receive(
+        from: String,
+        message: EvidenceMessage,
+    ) = when (message) {
+        is EvidenceMessage.Digest ->
+            if (message.value != quarantine.digest) send(listOf(from), EvidenceMessage.Evidence(quarantine.allEvidence())) else Unit
+        is EvidenceMessage.Evidence -> {
+            val added = quarantine.merge(message.delta)
+            if (!added.isEmpty && membership.liveMembers.size > PUBLISH_FANOUT) publish(added) else Unit
+        }
+    }
+
+    private inner class DatagramHandler : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(
+            ctx: ChannelHandlerContext,
+            msg: DatagramPacket,
+        ) {
+            val message = EvidenceCodec.decodeOrNull(ByteBufUtil.getBytes(msg.content()), clock.nowMs())
+            if (message == null) {
+                log.line("evidence.unreadable", "from" to msg.sender())
+            } else {
+                receive(msg.sender().address.hostAddress, message)
+            }
+        }
+
+        override fun exceptionCaught(
+            ctx: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            log.failure("evidence", cause)
+        }
+    }
+
+    private companion object {
+        /** With two instances asked in each round, a lost datagram is made up for within about a second. */
+        const val ROUND_INTERVAL_MS = 500L
+        const val DIGEST_FANOUT = 2
+
+        /** The number of instances that receive new evidence directly: all of a small fleet. */
+        const val PUBLISH_FANOUT = 12
+    }
+}
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.coordination.message.decodeCborOrNull
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
 import io.netty.bootstrap.Bootstrap
@@ -19,9 +20,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import io.netty.handler.codec.LengthFieldPrepender
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
 /** Receives the messages of peers. */
@@ -143,19 +142,16 @@
     private inner class MessageHandler(
         private val connection: PeerConnection,
     ) : SimpleChannelInboundHandler<ByteBuf>() {
-        @OptIn(ExperimentalSerializationApi::class)
         override fun channelRead0(
             ctx: ChannelHandlerContext,
             msg: ByteBuf,
         ) {
-            val message =
-                try {
-                    Cbor.decodeFromByteArray<PeerMessage>(ByteBufUtil.getBytes(msg))
-                } catch (e: SerializationException) {
-                    log.line("peer.unreadable", "peer" to connection.host, "error" to e.message)
-                    ctx.close()
-                    return
-                }
+            val message = decodeCborOrNull<PeerMessage>(ByteBufUtil.getBytes(msg))
+            if (message == null) {
+                log.line("peer.unreadable", "peer" to connection.host, "bytes" to msg.readableBytes())
+                ctx.close()
+                return
+            }
             listeners.forEach { it.onMessage(connection, message) }
         }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -4,6 +4,7 @@
 import io.monsoonpath.gateway.choice.SelectedBackend
 import io.monsoonpath.gateway.config.RouteKind
 import io.monsoonpath.gateway.config.isIdempotent
+import io.monsoonpath.gateway.crash.UnprovenAttempt
 import io.monsoonpath.gateway.http.CallHead
 import io.monsoonpath.gateway.http.Exchange
 import io.monsoonpath.gateway.http.ExchangeFailure
@@ -73,6 +74,11 @@
     private val server = selected.server
     private val startedAtMs = services.clock.nowMs()
     private val promptTokens = context.head.promptTokens
+    private val unproven =
+        context.head.sharedPartIds
+            .takeIf { it.isNotEmpty() }
+            ?.let { UnprovenAttempt(server, it, startedAtMs) }
+    private var isProven = false
     private var exchange: Exchange? = null
     private var head: ResponseHead? = null
     private var isFinished = false
@@ -94,6 +100,7 @@
             "remainingMs" to remainingMs,
             "resumeAfter" to resumeAfter,
         )
+        unproven?.let(services.crashDetector::recordStart)
         val maxIdleMs = if (context.route.kind.isIdempotent) Long.MAX_VALUE else NON_IDEMPOTENT_MAX_IDLE_MS
         exchange = services.connectionPools.poolFor(server).send(createRequest(remainingMs), this, maxIdleMs)
         if (context.route.kind == RouteKind.Idempotent && number < context.route.maxAttempts) {
@@ -164,6 +171,7 @@
     override fun onContent(content: ByteBuf) {
         if (isFinished || head?.isNotRun == true) return
         if (!hasRecordedResponse) handleFirstContent()
+        if (services.clock.nowMs() - checkNotNull(firstContentAtMs) >= PROOF_MS) recordProof()
         if (!relay.content(content)) {
             exchange?.cancel()
             endLost("events are missing")
@@ -185,6 +193,14 @@
         if (head?.status in SUCCESS_STATUS) onResult(AttemptResult.FirstByte)
     }
 
+    /** Records that the backend server runs on although it has begun to answer, so that the prompt did not crash it. */
+    private fun recordProof() {
+        if (unproven == null || isProven) return
+        isProven = true
+        services.crashDetector.recordEnd(unproven)
+        services.crashQuarantine.recordAnswer(unproven.parts)
+    }
+
     private fun recordResponse() =
         services.loads.recordFirstByte(selected.load, promptTokens, services.clock.nowMs() - startedAtMs, head?.load)
 
@@ -192,8 +208,10 @@
         val head = checkNotNull(head) { "the response ended before its head" }
         if (!hasRecordedResponse) recordResponse()
         hasRecordedResponse = true
+        val isRejected = head.isNotRun || head.status == MISDIRECTED
+        if (head.isSigned && !isRejected) recordProof()
         when {
-            head.isNotRun || head.status == MISDIRECTED -> endNotRun(head.status)
+            isRejected -> endNotRun(head.status)
             head.status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() ->
                 end(
                     AttemptOutcome.FAILED,
@@ -214,7 +232,10 @@
         }
 
     override fun onFailure(failure: ExchangeFailure) {
-        if (!failure.isUnsent) return endLost(failure.name)
+        if (!failure.isUnsent) {
+            if (!isProven && failure.isConnectionLoss) unproven?.let(services.crashDetector::recordLoss)
+            return endLost(failure.name)
+        }
         end(AttemptOutcome.LOST, failure.name) { onResult(AttemptResult.NotRun(wasSent = false)) }
     }
 
@@ -230,6 +251,7 @@
     ) {
         if (isFinished) return
         isFinished = true
+        if (!isProven) unproven?.let(services.crashDetector::recordEnd)
         if (!hasRecordedResponse) selected.load.pendingPromptTokens -= promptTokens
         services.loads.recordEnd(server, selected.load, outcome)
         services.metrics.attemptEnded(context.pool.value, outcome.name)
@@ -252,6 +274,9 @@
 
         /** A connection that has been idle for longer may be closing. A request that can't be repeated is not sent over it. */
         const val NON_IDEMPOTENT_MAX_IDLE_MS = 500L
+
+        /** A backend server that runs on for this long after the first content of an answer was not crashed by it. */
+        const val PROOF_MS = 250L
         const val MIN_ATTEMPT_TIMEOUT_MS = 250L
         const val ATTEMPT_TIMEOUT_FACTOR = 4.0
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -2,6 +2,7 @@
 
 import io.monsoonpath.gateway.config.RouteKind
 import io.monsoonpath.gateway.config.isIdempotent
+import io.monsoonpath.gateway.crash.text
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.monsoonpath.gateway.http.RunningRequest
 import io.monsoonpath.gateway.stage.DataLocality
@@ -15,6 +16,7 @@
 import io.monsoonpath.policy.batch.AdmissionDecision
 import io.monsoonpath.policy.batch.StageEstimate
 import io.monsoonpath.policy.batch.decideAdmission
+import io.monsoonpath.policy.crash.PromptQuarantine
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -38,6 +40,9 @@
     private var stageAttempts = 0
     private var mayHaveRun = false
     private var firstByteMs: Long? = null
+    private var sentAtMs = Long.MIN_VALUE
+    private val hasSharedParts = context.head.sharedPartIds.isNotEmpty()
+    private val quarantineListener = ::handleQuarantineStart
     private var isFinished = false
 
     /** Starts serving the request. */
@@ -53,14 +58,39 @@
             "remainingMs" to context.deadlineAtMs - nowMs(),
             "parts" to
                 context.head.promptParts
-                    .joinToString(",") { it.id }
+                    .joinToString(",") { it.id.value }
                     .ifEmpty { null },
         )
         services.scheduler.schedule(context.deadlineAtMs - DEADLINE_MARGIN_MS - nowMs()) { handleDeadline() }
-        if (route.stages.isEmpty()) proceed() else checkAdmission()
+        if (hasSharedParts) services.crashQuarantine.addListener(quarantineListener)
+        when {
+            isQuarantined() -> Unit
+            route.stages.isEmpty() -> proceed()
+            else -> checkAdmission()
+        }
         return this
     }
 
+    /** Refuses the request and returns true if a quarantine forbids to send it. */
+    private fun isQuarantined(): Boolean {
+        val quarantine = services.crashQuarantine.check(context.head.sharedPartIds) ?: return false
+        refuse(quarantine)
+        return true
+    }
+
+    private fun refuse(quarantine: PromptQuarantine) {
+        services.log.line("request.quarantined", "request" to id, "parts" to quarantine.text(), "crashes" to quarantine.crashCount)
+        refuse(if (mayHaveRun) Refusal.BACKEND_FAILED else Refusal.QUARANTINED, (quarantine.endsAtMs - nowMs()).coerceAtLeast(0))
+    }
+
+    /** Ends the request if a new quarantine matches it, before it crashes the backend server at which it may be waiting. */
+    private fun handleQuarantineStart() {
+        if (isFinished || firstByteMs != null) return
+        val quarantine = services.crashQuarantine.check(context.head.sharedPartIds) ?: return
+        // A request that was sent under this quarantine is its trial.
+        if (quarantine.startsAtMs > sentAtMs) refuse(quarantine)
+    }
+
     private fun checkAdmission() {
         val stages = expectedStages()
         when (val decision = decideAdmission(stages, route.targetLatencyMs, EXPECTED_CALL_MS, context.rank, id.hashCode())) {
@@ -165,6 +195,7 @@
     }
 
     private fun startNextAttempt() {
+        if (isQuarantined()) return
         val pool = context.table.poolOf(context.pool)
         val selected = pool?.let { services.selector.select(it, context.head.promptParts, triedBackends, nowMs()) }
         if (selected == null) {
@@ -172,6 +203,8 @@
             return
         }
         triedBackends += selected.server.id
+        sentAtMs = nowMs()
+        services.crashQuarantine.recordSend(context.head.sharedPartIds)
         if (attempts == 0 && notRunAttempts == 0) services.retryBudgets.of(context.pool).recordFirstAttempt()
         attempts++
         mayHaveRun = true
@@ -256,13 +289,20 @@
     private fun retryAfterMs(
         refusal: Refusal,
         waitMs: Long,
-    ) = if (refusal.isNotRun) services.retryAfterPolicy.recordRefusal(route.name, waitMs, nowMs(), id.hashCode()) else 0
+    ): Long =
+        when {
+            !refusal.isNotRun -> 0
+            // The wait is known, and it says nothing about the load of the route.
+            refusal == Refusal.QUARANTINED -> waitMs
+            else -> services.retryAfterPolicy.recordRefusal(route.name, waitMs, nowMs(), id.hashCode())
+        }
 
     private fun finish(
         outcome: String,
         cancelAttempt: Boolean = true,
     ) {
         isFinished = true
+        if (hasSharedParts) services.crashQuarantine.removeListener(quarantineListener)
         if (cancelAttempt) attempt?.cancel()
         stageRun?.cancel()
         val tookMs = nowMs() - context.request.receivedAtMs
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestServices.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestServices.kt
@@ -4,6 +4,8 @@
 import io.monsoonpath.gateway.choice.BackendLoads
 import io.monsoonpath.gateway.choice.BackendSelector
 import io.monsoonpath.gateway.choice.RetryBudgets
+import io.monsoonpath.gateway.crash.CrashDetector
+import io.monsoonpath.gateway.crash.CrashQuarantine
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.http.BackendCodec
 import io.monsoonpath.gateway.http.BackendConnectionPools
@@ -27,6 +29,8 @@
     val standingQueues: StandingQueueDetector,
     val codec: BackendCodec,
     val pieceExecutor: PieceExecutor,
+    val crashDetector: CrashDetector,
+    val crashQuarantine: CrashQuarantine,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 )
--- a/model/src/main/kotlin/io/monsoonpath/model/Ids.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Ids.kt
@@ -132,6 +132,17 @@
     override fun toString(): String = value
 }
 
+/** The id of a part of a prompt. Requests whose prompts have a part in common carry the same id. */
+@JvmInline
+@Serializable
+value class PromptPartId(
+    val value: String,
+) : Comparable<PromptPartId> {
+    override fun compareTo(other: PromptPartId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
 /** The number of an attempt within one stage of one request, starting at 1. */
 @JvmInline
 @Serializable
