Recognize second copies of batch answers and answers without end

Callers saw nothing yet; an operator's report (a second copy of an answer, late, on a connection that was in use again) was looked for here. Answers to requests carry their id and were safe. Answers to batch calls carry none: the copy of one was taken for the answer to the next call, so pieces got handles of other requests, and the connection stayed one answer behind. Likewise for bytes without end: an event without a blank line and the body of a batch answer or a document were collected until memory ran out, the event in quadratic time.

Cause: what can't be told apart was trusted. Change: handles are issued once, so an answer with a known handle is a copy and its connection is closed; a connection is not used again after an answer without handles. Events are limited to 1 MiB, whole bodies to 8 MiB.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.coordination.crash
 
 import io.monsoonpath.model.BackendId
+import io.monsoonpath.model.LruMap
 import io.monsoonpath.model.PromptPartId
 
 /** Identifies a crash by the incarnation of the backend server that crashed. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/EventSplitter.kt
@@ -13,6 +13,13 @@
 class EventSplitter {
     private val buffer = Unpooled.buffer()
 
+    /** The start of the current line and the number of bytes already searched, both relative to the start of the incomplete event. */
+    private var lineStart = 0
+    private var searchedBytes = 0
+
+    /** Whether the incomplete event is longer than any event of an engine, so that the stream is probably no event stream. */
+    val isOverflowing: Boolean get() = pendingBytes > MAX_EVENT_BYTES
+
     /** The number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = buffer.readableBytes()
 
@@ -25,6 +32,7 @@
             if (length < 0) break
             val bytes = ByteArray(length)
             buffer.readBytes(bytes)
+            resetSearch()
             events += StreamEvent(idOf(bytes), bytes)
         }
         buffer.discardReadBytes()
@@ -37,15 +45,22 @@
     /** Discards the incomplete event. */
     fun clear() {
         buffer.clear()
+        resetSearch()
+    }
+
+    private fun resetSearch() {
+        lineStart = 0
+        searchedBytes = 0
     }
 
     /** Returns the length of the first event including its blank line, or -1 if it is incomplete. */
     private fun eventLength(): Int {
-        var lineStart = buffer.readerIndex()
-        for (i in buffer.readerIndex() until buffer.writerIndex()) {
-            if (buffer.getByte(i) != NEWLINE) continue
-            val isBlank = i == lineStart || (i == lineStart + 1 && buffer.getByte(lineStart) == CARRIAGE_RETURN)
-            if (isBlank && lineStart > buffer.readerIndex()) return i + 1 - buffer.readerIndex()
+        val start = buffer.readerIndex()
+        while (searchedBytes < buffer.readableBytes()) {
+            val i = searchedBytes++
+            if (buffer.getByte(start + i) != NEWLINE) continue
+            val isBlank = i == lineStart || (i == lineStart + 1 && buffer.getByte(start + lineStart) == CARRIAGE_RETURN)
+            if (isBlank && lineStart > 0) return i + 1
             lineStart = i + 1
         }
         return -1
@@ -63,5 +78,8 @@
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+
+        /** Events carry a few tokens, of some hundred bytes. */
+        const val MAX_EVENT_BYTES = 1 shl 20
     }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
@@ -25,6 +25,9 @@
     /** The received bytes are not an HTTP response. */
     MALFORMED,
 
+    /** The response is longer than any valid one. */
+    TOO_LONG,
+
     /** Nothing was received for too long. */
     TIMED_OUT,
 }
@@ -40,6 +43,9 @@
     /** Called when a part of the body has arrived; [content] is valid only during the call. */
     fun onContent(content: ByteBuf)
 
+    /** Returns, after the last content, whether the connection can be used again; called before [onEnd]. */
+    fun isReusable(): Boolean = true
+
     /** Called when the response is complete. */
     fun onEnd()
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
@@ -25,45 +25,70 @@
     ) : ExchangeOutcome
 }
 
-/** Collects a complete response and passes it to [done]. */
+/**
+ * Collects a complete response and passes it to [done].
+ *
+ * @param isReusable returns whether the connection can be used again after the given response
+ */
 class FullResponseListener(
+    private val isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
     private val done: (ExchangeOutcome) -> Unit,
 ) : ExchangeListener {
     private var response: HttpResponse? = null
     private val body = Unpooled.buffer()
+    private var isTooLong = false
 
     override fun onHead(response: HttpResponse) {
         this.response = response
     }
 
     override fun onContent(content: ByteBuf) {
+        if (isTooLong) return
         body.writeBytes(content, content.readerIndex(), content.readableBytes())
+        if (body.readableBytes() <= MAX_BODY_BYTES) return
+        isTooLong = true
+        body.clear()
+        done(ExchangeOutcome.Failed(ExchangeFailure.TOO_LONG))
     }
 
-    override fun onEnd() = done(ExchangeOutcome.Completed(checkNotNull(response) { "the response ended before its head" }, body))
+    override fun isReusable(): Boolean = isReusable(completed())
+
+    override fun onEnd() = done(completed())
+
+    private fun completed() = ExchangeOutcome.Completed(checkNotNull(response) { "the response ended before its head" }, body)
 
     override fun onFailure(failure: ExchangeFailure) = done(ExchangeOutcome.Failed(failure))
+
+    private companion object {
+        /** Several times a page of the store, which is the longest response. */
+        const val MAX_BODY_BYTES = 8 shl 20
+    }
 }
 
 /**
  * Sends [request] and calls [done] once with the outcome, unless the returned exchange is cancelled.
  *
  * @param timeoutMs the time in milliseconds after which the exchange is cancelled
+ * @param isReusable returns whether the connection can be used again after the given response
  */
 fun ServerConnectionPool.exchange(
     request: FullHttpRequest,
     timeoutMs: Long,
     scheduler: Scheduler,
+    isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
     done: (ExchangeOutcome) -> Unit,
 ): Exchange {
     var isFinished = false
+    var sent: Exchange? = null
     val complete = { outcome: ExchangeOutcome ->
         if (!isFinished) {
             isFinished = true
+            // A response that is too long is still being received.
+            if (outcome is ExchangeOutcome.Failed) sent?.cancel()
             done(outcome)
         }
     }
-    val exchange = send(request, FullResponseListener(complete))
+    val exchange = send(request, FullResponseListener(isReusable, complete)).also { sent = it }
     scheduler.schedule(timeoutMs) {
         if (!isFinished) {
             exchange.cancel()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -126,7 +126,13 @@
         exchange = null
         val response = checkNotNull(head) { "the response ended before its head" }
         val isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        val canKeep = isFramed && !isUnusable && HttpUtil.isKeepAlive(response) && requestWrite?.isSuccess == true && ctx.channel().isActive
+        val canKeep =
+            isFramed &&
+                !isUnusable &&
+                active.listener.isReusable() &&
+                HttpUtil.isKeepAlive(response) &&
+                requestWrite?.isSuccess == true &&
+                ctx.channel().isActive
         release(this, if (canKeep) announcedIdleTimeoutMs(response) else 0)
         active.end()
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -174,7 +174,7 @@
         if (services.clock.nowMs() - checkNotNull(firstContentAtMs) >= PROOF_MS) recordProof()
         if (!relay.content(content)) {
             exchange?.cancel()
-            endLost("events are missing")
+            endLost("events are missing or too long")
         } else if (relay.hasStarted && awaitDrainIfCongested()) {
             exchange?.setReading(false)
         }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
@@ -20,7 +20,7 @@
     /** Receives the head of a response. */
     fun head(response: HttpResponse)
 
-    /** Receives a part of the body; returns false if it does not continue what the caller has received. */
+    /** Receives a part of the body; returns false if it does not continue what the caller has received, or can't be relayed. */
     fun content(bytes: ByteBuf): Boolean
 
     /** Completes the response to the caller. */
@@ -119,7 +119,7 @@
             lastEventId = event.id ?: last
             forward(event.bytes)
         }
-        return true
+        return !splitter.isOverflowing
     }
 
     override fun end() {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
@@ -9,8 +9,15 @@
 import io.monsoonpath.gateway.http.FullResponseListener
 import io.monsoonpath.gateway.http.exchange
 import io.monsoonpath.model.ClockMs
+import io.monsoonpath.model.LruMap
 
-/** Sends batch calls to stage workers over HTTP. */
+/**
+ * Sends batch calls to stage workers over HTTP.
+ *
+ * Responses to batch calls carry no id, and a worker may send a second copy of a response when the connection is already used for the next
+ * call. Handles are never issued twice, so a response with a handle that was received before is such a copy. A response without handles
+ * could not be recognized, so its connection is not used again.
+ */
 class HttpBatchSender(
     private val connectionPools: BackendConnectionPools,
     private val codec: BackendCodec,
@@ -18,18 +25,31 @@
     private val clock: ClockMs,
     private val scheduler: Scheduler,
 ) : BatchSender {
+    private val receivedHandles = LruMap<String, Unit>(MAX_RECEIVED_HANDLES)
+
     override fun execute(
         worker: BackendServer,
         pieces: List<Piece>,
         timeoutMs: Long,
         done: (BatchOutcome) -> Unit,
     ) {
-        connectionPools
-            .poolFor(
-                worker,
-            ).exchange(codec.encodeBatch(worker, pieces, clock.nowMs()), timeoutMs, scheduler) { done(read(it, pieces.size)) }
+        val call = codec.encodeBatch(worker, pieces, clock.nowMs())
+        connectionPools.poolFor(worker).exchange(call, timeoutMs, scheduler, { isRecognizable(it, pieces.size) }) {
+            done(read(it, pieces.size))
+        }
     }
 
+    /** Returns whether a second copy of [response] would be recognized, and [response] itself is none. */
+    private fun isRecognizable(
+        response: ExchangeOutcome.Completed,
+        count: Int,
+    ): Boolean {
+        val handles = codec.decodeBatch(response.body, count)?.let(::handlesOf).orEmpty()
+        return handles.isNotEmpty() && handles.none { it in receivedHandles }
+    }
+
+    private fun handlesOf(results: List<PieceResult>) = results.mapNotNull { (it as? PieceResult.Completed)?.handle }
+
     private fun read(
         outcome: ExchangeOutcome,
         count: Int,
@@ -43,7 +63,8 @@
                 when {
                     head.isNotRun || head.status == MISDIRECTED -> BatchOutcome.Rejected
                     results == null -> BatchOutcome.Lost("status ${head.status} without results")
-                    else -> BatchOutcome.Answered(results)
+                    handlesOf(results).any { it in receivedHandles } -> BatchOutcome.Lost("a second copy of an earlier answer")
+                    else -> BatchOutcome.Answered(results.also { handlesOf(it).forEach { handle -> receivedHandles[handle] = Unit } })
                 }
             }
         }
@@ -55,11 +76,14 @@
         handles: List<String>,
     ) {
         // The outcome is ignored: after a lost release, the worker frees the memory when the result expires.
-        connectionPools.poolFor(worker).send(codec.encodeRelease(worker, handles), FullResponseListener { })
+        connectionPools.poolFor(worker).send(codec.encodeRelease(worker, handles), FullResponseListener(done = { }))
     }
 
     private companion object {
         const val OK = 200
         const val MISDIRECTED = 421
+
+        /** The results of many seconds, although a copy follows its original within a few calls. */
+        const val MAX_RECEIVED_HANDLES = 8_192
     }
 }
