Send prompts that crash workers in the soak

One request in sixty now has a prompt part that crashes each worker; its entry expires 0.8 s later and another worker takes its place, behind a proxy that accepts connections all the while, so that only the entry tells the crash. Checked: at most three such requests reach workers, later than 3 s after the fifth crash and the last fault. -Dmonsoonpath.soak.instances and .firstHost set the number of processes and the first address, so that several runs can share a machine.

The second internal port is used since the quarantine, so the settings must name a range of at least two. Explanation and RequestServices are split where the linter found them too complex.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import io.monsoonpath.gateway.choice.RetryBudgets
 import io.monsoonpath.gateway.config.ConfigurationHolder
 import io.monsoonpath.gateway.crash.CrashDetector
+import io.monsoonpath.gateway.crash.CrashProtection
 import io.monsoonpath.gateway.crash.CrashQuarantine
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.directory.BackendDirectory
@@ -135,8 +136,7 @@
             shutdownAdmission,
             codecs.backend,
             pieceExecutor,
-            crashDetector,
-            crashQuarantine,
+            CrashProtection(crashDetector, crashQuarantine),
             log,
             metrics,
         )
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/log/Explanation.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/log/Explanation.kt
@@ -83,10 +83,8 @@
     val failedStage = requestLines.lastOrNull { it.event == "stages.failed" }?.fields
     return when (outcome) {
         null -> "No line records the outcome: the instance died or still serves the request; look for its next instance.started."
-        "answered" -> "The request was answered."
         "answered-failure" ->
             "Backend server ${failedAttempt?.get("backend")} failed the request (${failedAttempt?.get("detail")}); no retry was possible."
-        "caller-left" -> "The caller closed the connection."
         "OVERLOADED" ->
             if (failedStage == null) {
                 "The request would have missed its latency target and was refused before it ran: see waitsMs for the wait of each stage."
@@ -97,13 +95,20 @@
             "Stage ${failedStage?.get("stage")} failed (${failedStage?.get("reason")}): see batch.lost and batch.no-room of its pool."
         "BACKEND_FAILED", "BACKEND_TIMED_OUT", "cut" ->
             "No complete answer from server ${failedAttempt?.get("backend")} (${failedAttempt?.get("detail")}); the request may have run."
-        "QUARANTINED" -> "The prompt contains what has crashed several backend servers: see quarantine.started."
-        "SHUTTING_DOWN" -> "The instance was shutting down and the request would have outlived it; it was refused before it ran."
         "NO_BACKEND" ->
             "No backend server accepted the request: those listed above rejected it, the others were removed, ejected or out of service."
-        else -> "The request was refused: $outcome."
+        else -> OTHER_OUTCOMES[outcome] ?: "The request was refused: $outcome."
     }
 }
 
+/** The outcomes whose explanation depends on nothing else. */
+private val OTHER_OUTCOMES =
+    mapOf(
+        "answered" to "The request was answered.",
+        "caller-left" to "The caller closed the connection.",
+        "QUARANTINED" to "The prompt contains what has crashed several backend servers: see quarantine.started.",
+        "SHUTTING_DOWN" to "The instance was shutting down and the request would have outlived it; it was refused before it ran.",
+    )
+
 /** The state of an instance is refreshed within a few seconds, so older changes did not affect the request. */
 private const val HISTORY_MS = 10_000L
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -100,7 +100,7 @@
             "remainingMs" to remainingMs,
             "resumeAfter" to resumeAfter,
         )
-        unproven?.let(services.crashDetector::recordStart)
+        unproven?.let(services.crashes.detector::recordStart)
         val maxIdleMs = if (context.route.kind.isIdempotent) Long.MAX_VALUE else NON_IDEMPOTENT_MAX_IDLE_MS
         exchange = services.connectionPools.poolFor(server).send(createRequest(remainingMs), this, maxIdleMs)
         if (context.route.kind == RouteKind.Idempotent && number < context.route.maxAttempts) {
@@ -197,8 +197,8 @@
     private fun recordProof() {
         if (unproven == null || isProven) return
         isProven = true
-        services.crashDetector.recordEnd(unproven)
-        services.crashQuarantine.recordAnswer(unproven.parts)
+        services.crashes.detector.recordEnd(unproven)
+        services.crashes.quarantine.recordAnswer(unproven.parts)
     }
 
     private fun recordResponse() =
@@ -233,7 +233,7 @@
 
     override fun onFailure(failure: ExchangeFailure) {
         if (!failure.isUnsent) {
-            if (!isProven && failure.isConnectionLoss) unproven?.let(services.crashDetector::recordLoss)
+            if (!isProven && failure.isConnectionLoss) unproven?.let(services.crashes.detector::recordLoss)
             return endLost(failure.name)
         }
         end(AttemptOutcome.LOST, failure.name) { onResult(AttemptResult.NotRun(wasSent = false)) }
@@ -251,7 +251,7 @@
     ) {
         if (isFinished) return
         isFinished = true
-        if (!isProven) unproven?.let(services.crashDetector::recordEnd)
+        if (!isProven) unproven?.let(services.crashes.detector::recordEnd)
         if (!hasRecordedResponse) selected.load.pendingPromptTokens -= promptTokens
         services.loads.recordEnd(server, selected.load, outcome)
         services.metrics.attemptEnded(context.pool.value, outcome.name)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -64,7 +64,7 @@
                     .ifEmpty { null },
         )
         services.scheduler.schedule(context.deadlineAtMs - DEADLINE_MARGIN_MS - nowMs()) { handleDeadline() }
-        if (hasSharedParts) services.crashQuarantine.addListener(quarantineListener)
+        if (hasSharedParts) services.crashes.quarantine.addListener(quarantineListener)
         when {
             isQuarantined() || isTooLongForShutdown(REQUEST_KIND, REQUEST_DEVIATIONS) -> Unit
             route.stages.isEmpty() -> proceed()
@@ -86,7 +86,7 @@
 
     /** Refuses the request and returns true if a quarantine forbids to send it. */
     private fun isQuarantined(): Boolean {
-        val quarantine = services.crashQuarantine.check(context.head.sharedPartIds) ?: return false
+        val quarantine = services.crashes.quarantine.check(context.head.sharedPartIds) ?: return false
         refuse(quarantine)
         return true
     }
@@ -99,7 +99,7 @@
     /** Ends the request if a new quarantine matches it, before it crashes the backend server at which it may be waiting. */
     private fun handleQuarantineStart() {
         if (isFinished || firstByteMs != null) return
-        val quarantine = services.crashQuarantine.check(context.head.sharedPartIds) ?: return
+        val quarantine = services.crashes.quarantine.check(context.head.sharedPartIds) ?: return
         // A request that was sent under this quarantine is its trial.
         if (quarantine.startsAtMs > sentAtMs) refuse(quarantine)
     }
@@ -217,7 +217,7 @@
         }
         triedBackends += selected.server.id
         sentAtMs = nowMs()
-        services.crashQuarantine.recordSend(context.head.sharedPartIds)
+        services.crashes.quarantine.recordSend(context.head.sharedPartIds)
         if (attempts == 0 && notRunAttempts == 0) services.retryBudgets.of(context.pool).recordFirstAttempt()
         attempts++
         mayHaveRun = true
@@ -321,7 +321,7 @@
         cancelAttempt: Boolean = true,
     ) {
         isFinished = true
-        if (hasSharedParts) services.crashQuarantine.removeListener(quarantineListener)
+        if (hasSharedParts) services.crashes.quarantine.removeListener(quarantineListener)
         if (cancelAttempt) attempt?.cancel()
         stageRun?.cancel()
         val tookMs = nowMs() - context.request.receivedAtMs
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestServices.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestServices.kt
@@ -4,8 +4,7 @@
 import io.monsoonpath.gateway.choice.BackendLoads
 import io.monsoonpath.gateway.choice.BackendSelector
 import io.monsoonpath.gateway.choice.RetryBudgets
-import io.monsoonpath.gateway.crash.CrashDetector
-import io.monsoonpath.gateway.crash.CrashQuarantine
+import io.monsoonpath.gateway.crash.CrashProtection
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.http.BackendCodec
 import io.monsoonpath.gateway.http.BackendConnectionPools
@@ -31,8 +30,7 @@
     val shutdownAdmission: ShutdownAdmission,
     val codec: BackendCodec,
     val pieceExecutor: PieceExecutor,
-    val crashDetector: CrashDetector,
-    val crashQuarantine: CrashQuarantine,
+    val crashes: CrashProtection,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 )
--- a/soak/src/test/kotlin/io/monsoonpath/soak/EntryProcess.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/EntryProcess.kt
@@ -114,7 +114,7 @@
         listen.front=$host:${ports.callers}
         listen.ready=$host:${ports.readiness}
         listen.control=$host:${ports.control}
-        internal_ports=${ports.peers},${ports.peers}
+        internal_ports=${ports.peers},${ports.peers + 1}
         seeds=${seedHosts.joinToString(",") { "$it:${ports.control}" }}
         platform.address=127.0.0.1:$storePort
         bounds.grace_s=$GRACE_S
--- a/soak/src/test/kotlin/io/monsoonpath/soak/FaultSchedule.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/FaultSchedule.kt
@@ -123,6 +123,12 @@
     /** Returns whether no fault other than planned operations was active, or recently active, while [request] was in flight. */
     fun isUndisturbed(request: CompletedRequest) = isFaultFree(request.sentAtMs, request.endedAtMs)
 
+    /** Returns whether no fault other than planned operations was active in the [durationMs] milliseconds before [atMs]. */
+    fun isCalmBefore(
+        atMs: Long,
+        durationMs: Long,
+    ) = faultSpans.none { it.first <= atMs && it.last >= atMs - durationMs }
+
     private fun isFaultFree(
         fromMs: Long,
         toMs: Long,
@@ -161,6 +167,9 @@
     companion object {
         const val PERMANENT_KEY = "lasting"
         const val WITHDRAWN_KEY = "withdrawn"
+
+        /** How long an instance must have been undisturbed to be bound by what the others have learned, in milliseconds. */
+        const val IN_TOUCH_MS = 3_000L
         private const val FAULT_COUNT = 10
         private const val FAULT_KIND_SLOTS = 12
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
@@ -18,6 +18,8 @@
     val kind: RequestKind,
     val instance: String,
     val key: String,
+    /** Whether the prompt crashes each worker that begins to answer it. */
+    val isFatal: Boolean,
     val sentAtMs: Long,
     val endedAtMs: Long,
     val result: CallerResult,
@@ -30,6 +32,7 @@
  */
 class GuaranteeChecker(
     private val executions: Collection<Execution>,
+    private val crashTimesMs: Collection<Long>,
     private val schedule: FaultSchedule,
     private val wasReceived: (String) -> Boolean,
 ) {
@@ -42,7 +45,7 @@
 
     /** Returns the fraction of the requests with the permanent key, sent at [fromMs] or later, that got status 200. */
     fun servedFraction(fromMs: Long): Double {
-        val counted = requests.filter { it.sentAtMs >= fromMs && it.key == FaultSchedule.PERMANENT_KEY }
+        val counted = requests.filter { it.sentAtMs >= fromMs && it.key == FaultSchedule.PERMANENT_KEY && !it.isFatal }
         return counted.count { it.isServed() }.toDouble() / counted.size.coerceAtLeast(1)
     }
 
@@ -54,7 +57,7 @@
         val executionsById = executions.groupBy { it.request.id }
         val requestsById = requests.associateBy { it.id }
         return requests.flatMap { requestViolations(it, executionsById[it.id].orEmpty()) } +
-            executions.mapNotNull { executionViolation(it, requestsById[it.request.id]) }
+            executions.mapNotNull { executionViolation(it, requestsById[it.request.id]) } + listOfNotNull(quarantineViolation())
     }
 
     private fun requestViolations(
@@ -99,6 +102,18 @@
         executionsOfRequest: List<Execution>,
     ) = schedule.isUndisturbed(request) && executionsOfRequest.isEmpty() && wasReceived(request.id)
 
+    /** Returns a violation if requests with a fatal prompt went on reaching workers although the instances had time to learn of it. */
+    private fun quarantineViolation(): String? {
+        val fifthCrashMs = crashTimesMs.sorted().getOrNull(TOLERATED_CRASHES - 1) ?: return null
+        val late =
+            executions.filter {
+                isFatal(it.request) &&
+                    it.atMs > fifthCrashMs + FaultSchedule.IN_TOUCH_MS &&
+                    schedule.isCalmBefore(it.atMs, FaultSchedule.IN_TOUCH_MS)
+            }
+        return "${late.size} requests with a fatal prompt reached workers after the fifth crash".takeIf { late.size > TOLERATED_SENDS }
+    }
+
     private fun executionViolation(
         execution: Execution,
         request: CompletedRequest?,
@@ -122,6 +137,8 @@
 
     private companion object {
         const val OK = 200
+        const val TOLERATED_CRASHES = 5
+        const val TOLERATED_SENDS = 3
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         val DENIAL_STATUSES = setOf(400, 401, 403, 404, 413, 431)
     }
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -26,10 +26,10 @@
     private val startNs = System.nanoTime()
     private val storeContents = StoreContents()
     private val store = FakeStore(storeContents)
-    private val workers = SoakWorkers(storeContents, ::nowMs)
+    private val workers = SoakWorkers(storeContents, ::nowMs, ::scheduleAfter)
     private val schedule = FaultSchedule(seed, INSTANCES, WORKERS)
-    private val checker = GuaranteeChecker(workers.executions, schedule, ::wasReceived)
-    private val hosts = List(INSTANCES) { "127.0.0.${FIRST_HOST_NUMBER + it}" }
+    private val checker = GuaranteeChecker(workers.executions, workers.crashTimesMs, schedule, ::wasReceived)
+    private val hosts = List(INSTANCES) { "127.0.${(FIRST_HOST_NUMBER + it) / HOST_NUMBERS}.${(FIRST_HOST_NUMBER + it) % HOST_NUMBERS}" }
     private val storeProxies = hosts.map { Proxy(store.port) }
     private val ports = EntryProcess.Ports(hosts.first())
     private val instances =
@@ -154,9 +154,15 @@
         val kind = RequestKind.entries.random(random)
         val key = if (random.nextInt(4) == 0) FaultSchedule.WITHDRAWN_KEY else FaultSchedule.PERMANENT_KEY
         val sentAtMs = nowMs()
-        val headers = "Authorization: Bearer $key\r\n"
+        val isFatal = random.nextInt(FATAL_INTERVAL) == 0
+        val part = if (isFatal) FATAL_PART else "c${random.nextInt(SHARED_PARTS)}"
+        val headers = "Authorization: Bearer $key\r\nMonsoonpath-Prompt-Prefix: first:9,$part:9,$id:9\r\n"
         val result = caller.exchange(GatewayHarness.request(kind.path, body = id, headers = headers, id = id, connection = "keep-alive"))
-        if (result != CallerResult.NotConnected) checker.record(CompletedRequest(id, kind, instance, key, sentAtMs, nowMs(), result))
+        if (result !=
+            CallerResult.NotConnected
+        ) {
+            checker.record(CompletedRequest(id, kind, instance, key, isFatal, sentAtMs, nowMs(), result))
+        }
     }
 
     private fun scheduleAfter(
@@ -203,10 +209,18 @@
     }
 
     private companion object {
-        const val INSTANCES = 3
+        /** The number of processes; `-Dmonsoonpath.soak.instances` sets another. */
+        val INSTANCES = Integer.getInteger("monsoonpath.soak.instances", 3)
         const val WORKERS = 4
         const val CALLERS = 12
-        const val FIRST_HOST_NUMBER = 41
+
+        /** The first loopback address; `-Dmonsoonpath.soak.firstHost` sets another, so that several runs can share a machine. */
+        val FIRST_HOST_NUMBER = Integer.getInteger("monsoonpath.soak.firstHost", 41)
+        const val HOST_NUMBERS = 250
+
+        /** One request in so many has a prompt that crashes workers. */
+        const val FATAL_INTERVAL = 60
+        const val SHARED_PARTS = 6
         const val SCHEDULER_THREADS = 12
         const val READY_TIMEOUT_MS = 30_000L
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
@@ -17,6 +17,12 @@
     val atMs: Long,
 )
 
+/** A part of a prompt that crashes each worker that begins to answer it. */
+const val FATAL_PART = "dead"
+
+/** Returns whether the prompt of [request] contains [FATAL_PART]. */
+fun isFatal(request: ReceivedRequest) = ",$FATAL_PART:" in request.headers["monsoonpath-prompt-prefix"].orEmpty()
+
 /** Returns the response body of a worker for the request with [id]. */
 fun bodyOf(id: String) = "answer to $id"
 
@@ -33,20 +39,24 @@
 class SoakWorkers(
     private val store: StoreContents,
     private val nowMs: () -> Long,
+    private val scheduleAfter: (Long, () -> Unit) -> Unit,
 ) : AutoCloseable {
     private class Worker(
         val server: FakeWorker,
         val proxy: Proxy,
     )
 
-    private val workers = LinkedHashMap<String, Worker>()
+    private val workers = java.util.Collections.synchronizedMap(LinkedHashMap<String, Worker>())
     private val startedCount = AtomicInteger()
 
     /** Every execution of a request by any worker, in no particular order. */
     val executions = ConcurrentLinkedQueue<Execution>()
 
+    /** The times at which workers crashed because of the prompt of a request. */
+    val crashTimesMs = ConcurrentLinkedQueue<Long>()
+
     /** The proxies in front of the registered workers. */
-    val proxies: List<Proxy> get() = workers.values.map { it.proxy }
+    val proxies: List<Proxy> get() = synchronized(workers) { workers.values.map { it.proxy } }
 
     /** Starts a worker and registers it. */
     fun start() {
@@ -57,9 +67,21 @@
         register(id, "ready", sequence = 1)
     }
 
+    /**
+     * Records the crash of the worker with [id]. Its entry expires, and a worker with another id takes its place. Its
+     * proxy still accepts connections, so that only the entry tells the crash from a lost connection.
+     */
+    private fun recordCrash(id: String) {
+        crashTimesMs += nowMs()
+        scheduleAfter(ENTRY_EXPIRY_MS) {
+            remove(id)
+            start()
+        }
+    }
+
     /** Marks the oldest worker as draining and returns its id. */
     fun drainOldest(): String {
-        val id = workers.keys.first()
+        val id = synchronized(workers) { workers.keys.first() }
         register(id, "draining", sequence = 2)
         return id
     }
@@ -88,6 +110,10 @@
         val failureSlot = number % FAILURE_CYCLE
         if (failureSlot == TURNED_AWAY) return WorkerAction.Write(notRunResponse(request))
         executions += Execution(worker, request, nowMs())
+        if (isFatal(request)) {
+            recordCrash(worker)
+            return WorkerAction.Crash("")
+        }
         if (failureSlot == SLOW) LockSupport.parkNanos(SLOW_RESPONSE_NS)
         val isStream = "/stream/" in request.firstLine
         val response = if (isStream) streamedResponse(request) else signedResponse(request, bodyOf(request.id))
@@ -112,6 +138,8 @@
         }
 
     private companion object {
+        /** The time after which the entry of a crashed worker is removed. */
+        const val ENTRY_EXPIRY_MS = 800L
         const val FAILURE_CYCLE = 41
         const val TURNED_AWAY = 7
         const val FAILED = 13
