Give every request a final answer before a shutdown ends

Cause: the process ended at its time whatever still ran. Class: accepted work without an owner at the end of a process. Ruled out: a request that crossed the close (it was read half a second before SIGTERM).

Change: each tick of a shutdown refuses waiting requests that can't be done any more, so that they can be retried elsewhere in time; shortly before the end all others get 503 if they were not sent and 502 if they may have run.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -176,6 +176,11 @@
         context?.close()
     }
 
+    /** Notifies the request that is being served of the shutdown; with [isEnding], the process ends right after it. */
+    fun notifyShutdown(isEnding: Boolean) {
+        active?.running?.onShutdown(isEnding)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         timer?.cancel(false)
         discardRequest()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
@@ -27,6 +27,9 @@
 fun interface RunningRequest {
     /** Called when the caller has closed its connection. */
     fun onCallerDisconnected()
+
+    /** Called repeatedly during a shutdown, the last time with [isEnding], after which the process ends. */
+    fun onShutdown(isEnding: Boolean) = Unit
 }
 
 /**
@@ -78,6 +81,9 @@
         isDraining = true
     }
 
+    /** Notifies the requests that are being served of the shutdown; with [isEnding], the process ends right after it. */
+    fun notifyShutdown(isEnding: Boolean) = connections.toList().forEach { it.notifyShutdown(isEnding) }
+
     /** Closes connections without a current request. */
     fun closeIdle() = connections.filterNot { it.isBusy }.forEach { it.close() }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -150,6 +150,14 @@
         }
     }
 
+    override fun onShutdown(isEnding: Boolean) {
+        when {
+            isFinished -> Unit
+            isEnding -> refuse(if (mayHaveRun) Refusal.BACKEND_FAILED else Refusal.SHUTTING_DOWN)
+            attempt == null -> isTooLongForShutdown(CALL_KIND, CALL_DEVIATIONS)
+        }
+    }
+
     private fun proceed() {
         if (route.stages.isNotEmpty() && stageRun == null) runStages() else startNextAttempt()
     }
