Keep repeated actions running after an error

Callers saw nothing yet; looked for after an operator's report (one unexpected error took a whole process down). A repeated action that threw an Error, such as the StackOverflowError of a nested entry, was never run again, without a log line: gossip rounds, the comparison of documents or the tick of a shutdown would have stopped in a process that seems to run.

Cause: only RuntimeException was caught, and the event loop drops a repeated task that throws. Change: anything thrown is logged and the action goes on.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Scheduler.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Scheduler.kt
@@ -19,7 +19,7 @@
     )
 }
 
-/** Schedules actions on [loop]. An action that throws a [RuntimeException] is logged; a repeated one continues to be scheduled. */
+/** Schedules actions on [loop]. An action that throws is logged; a repeated one continues to be scheduled. */
 class EventLoopScheduler(
     private val loop: EventLoop,
     private val log: DecisionLog,
@@ -41,7 +41,8 @@
     private fun runAndLogFailure(action: () -> Unit) {
         try {
             action()
-        } catch (e: RuntimeException) {
+        } catch (e: Throwable) {
+            // Errors, too: a StackOverflowError over one message must not end the rounds of gossip or the watch of the store.
             log.failure("scheduled action", e)
         }
     }
