Keep the attribution of crashes cheap when many requests are suspected

Callers saw nothing; read in the diff. Each clearance recomputed all hypotheses, one for each suspected part, over all suspects. Now only parts that are suspected in two crashes are candidates, and evidence that arrives within 50 ms is judged once.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
@@ -184,7 +184,7 @@
         const val DEFAULT_RETENTION_MS = 1_200_000L
 
         /** Bounds memory: a report has a few hundred bytes. */
-        const val MAX_REPORTS = 512
+        const val MAX_REPORTS = 256
 
         /** More than the parts in use within the seconds that a report takes at most. */
         const val MAX_ANSWERED_PARTS = 4_096
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
@@ -51,6 +51,7 @@
     /** The quarantines in force that were logged, and of which the listeners were notified. */
     private var announced: List<PromptQuarantine> = emptyList()
     private var nextReportNumber = 0L
+    private var isRefreshScheduled = false
 
     /** Receives the evidence that this instance finds. */
     var publisher = EvidencePublisher { }
@@ -115,7 +116,7 @@
     /** Merges the evidence [delta] of another instance and returns what of it was new. */
     fun merge(delta: EvidenceDelta): EvidenceDelta {
         val added = evidence.merge(delta, clock.nowMs())
-        if (!added.isEmpty) refresh()
+        if (!added.isEmpty) scheduleRefresh()
         return added
     }
 
@@ -125,10 +126,18 @@
     private fun spread(added: EvidenceDelta) {
         if (added.isEmpty) return
         publisher.publish(added)
-        refresh()
+        scheduleRefresh()
+    }
+
+    /** Evidence arrives in bursts, as the requests of a crashed server are lost together and others are answered soon after. */
+    private fun scheduleRefresh() {
+        if (isRefreshScheduled) return
+        isRefreshScheduled = true
+        scheduler.schedule(REFRESH_DELAY_MS, ::refresh)
     }
 
     private fun refresh() {
+        isRefreshScheduled = false
         val nowMs = clock.nowMs()
         quarantines = findQuarantines(evidence.crashes(nowMs).map(::observe))
         val pending = quarantines.filter { it.startsAtMs > nowMs }
@@ -155,6 +164,11 @@
         ended.forEach { log.line("quarantine.ended", "parts" to it.text()) }
         if (started.isNotEmpty()) listeners.toList().forEach { it() }
     }
+
+    private companion object {
+        /** Short compared with the time that a quarantine waits for clearances before it starts. */
+        const val REFRESH_DELAY_MS = 50L
+    }
 }
 
 /** Returns the parts of this quarantine as text, in the same order on all instances. */
--- a/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
@@ -128,13 +128,21 @@
         .thenByDescending { it.weight }
         .thenBy { it.parts.min() }
 
-/** Returns the hypothesis for each suspected part: the combination that always occurs together with it. Equal ones are returned once. */
-private fun hypothesesOf(crashes: List<ObservedCrash>): List<Hypothesis> =
-    crashes
-        .flatMapTo(HashSet()) { crash -> crash.suspects.flatMap { it.parts } }
-        .map { part -> combinationWith(part, crashes) }
-        .distinct()
-        .map { parts -> hypothesisOf(parts, crashes) }
+/**
+ * Returns the hypothesis for each part that is suspected in several crashes: the combination that always occurs together with it. Equal
+ * ones are returned once. Most parts are suspected in one crash only, so the work is small even if each crash has many suspects.
+ */
+private fun hypothesesOf(crashes: List<ObservedCrash>): List<Hypothesis> {
+    val crashesByPart = HashMap<PromptPartId, MutableList<ObservedCrash>>()
+    for (crash in crashes) {
+        for (part in crash.suspects.flatMapTo(HashSet()) { it.parts }) crashesByPart.getOrPut(part) { ArrayList() } += crash
+    }
+    return crashesByPart
+        .filterValues { it.size > 1 }
+        .map { (part, withPart) -> combinationWith(part, withPart) to withPart }
+        .distinctBy { (parts, _) -> parts }
+        .map { (parts, withPart) -> hypothesisOf(parts, withPart) }
+}
 
 private fun combinationWith(
     part: PromptPartId,
@@ -145,6 +153,7 @@
         .filter { part in it }
         .reduce { a, b -> a intersect b }
 
+/** Returns the hypothesis that the combination [parts] causes crashes; [crashes] are all that have a suspect with one of the parts. */
 private fun hypothesisOf(
     parts: Set<PromptPartId>,
     crashes: List<ObservedCrash>,
