Tell a crash from an answer that ends with its connection

An answer may have neither a length nor chunks and end with its connection, and a server that crashes ends its connections in the same way. The attempt that crashed the server then counted as answered, which cleared its prompt, so the quarantine never came.

Cause: the end of an answer was taken as proof that the server runs on, also where it proves nothing.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
@@ -46,7 +46,11 @@
         val server: BackendServer,
         val atMs: Long,
     ) {
-        val suspects = ArrayList<UnprovenAttempt>()
+        val suspects = LinkedHashSet<UnprovenAttempt>()
+
+        /** The suspects whose answers may be complete, with the actions to run if the server turns out to run on. */
+        val possiblyAnswered = HashMap<UnprovenAttempt, () -> Unit>()
+        var isProbing = false
         var isConfirmed = false
     }
 
@@ -72,25 +76,58 @@
 
     /** Records that the connection of [attempt] was lost. */
     fun recordLoss(attempt: UnprovenAttempt) {
+        lossOf(attempt)?.let { record(attempt, it) }
+    }
+
+    /**
+     * Records that the answer to [attempt] ended with its connection. That is how an answer without a length ends, but also how a server
+     * ends that crashes, so [onSurvived] is called only if the server is found to run on.
+     */
+    fun recordEndWithConnection(
+        attempt: UnprovenAttempt,
+        onSurvived: () -> Unit,
+    ) {
+        val loss = lossOf(attempt) ?: return
+        loss.possiblyAnswered[attempt] = onSurvived
+        record(attempt, loss)
+    }
+
+    private fun lossOf(attempt: UnprovenAttempt): Loss? {
         recordEnd(attempt)
         val id = crashIdOf(attempt.server)
-        val known = losses[id]
-        when {
-            known == null -> if (isExpectedToRun(attempt.server)) watch(id, attempt)
-            known.isConfirmed -> report(id, known, listOf(attempt))
-            else -> known.suspects += attempt
-        }
+        losses[id]?.let { return it }
+        if (!isExpectedToRun(attempt.server)) return null
+        scheduler.schedule(CONFIRMATION_TIMEOUT_MS) { losses.remove(id) }
+        return Loss(attempt.server, clock.nowMs()).also { losses[id] = it }
     }
 
-    private fun watch(
-        id: CrashId,
+    private fun record(
         attempt: UnprovenAttempt,
+        loss: Loss,
     ) {
-        val loss = Loss(attempt.server, clock.nowMs())
+        val id = crashIdOf(attempt.server)
+        if (loss.isConfirmed) return report(id, loss, listOf(attempt))
         loss.suspects += attempt
-        losses[id] = loss
-        probe(attempt.server) { result -> if (result == ProbeResult.REFUSED) confirm(id, "connection refused") }
-        scheduler.schedule(CONFIRMATION_TIMEOUT_MS) { losses.remove(id) }
+        if (loss.isProbing) return
+        loss.isProbing = true
+        probe(attempt.server) { handleProbe(id, loss, it) }
+    }
+
+    private fun handleProbe(
+        id: CrashId,
+        loss: Loss,
+        result: ProbeResult,
+    ) {
+        loss.isProbing = false
+        when (result) {
+            ProbeResult.REFUSED -> confirm(id, "connection refused")
+            ProbeResult.CONNECTED -> {
+                loss.suspects -= loss.possiblyAnswered.keys
+                loss.possiblyAnswered.values.forEach { it() }
+                loss.possiblyAnswered.clear()
+            }
+            ProbeResult.NO_RESPONSE -> Unit
+        }
     }
 
     private fun isExpectedToRun(server: BackendServer): Boolean =
@@ -125,7 +162,7 @@
     private fun report(
         id: CrashId,
         loss: Loss,
-        suspects: List<UnprovenAttempt>,
+        suspects: Collection<UnprovenAttempt>,
     ) = onCrash(id, loss.atMs, suspects.map { ReportedSuspect((loss.atMs - it.sentAtMs).coerceAtLeast(0), it.parts) })
 
     private fun crashIdOf(server: BackendServer) = CrashId(server.id, server.startedAtUnixMs)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -81,6 +81,9 @@
     private var isProven = false
     private var exchange: Exchange? = null
     private var head: ResponseHead? = null
+
+    /** Whether the length of the response is known, so that its end cannot be that of a server that crashes. */
+    private var isFramed = false
     private var isFinished = false
     private var hasRecordedResponse = false
     private var headAtMs: Long? = null
@@ -155,6 +158,7 @@
     override fun onHead(response: HttpResponse) {
         val decoded = services.codec.decode(response)
         head = decoded
+        isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
         headAtMs = services.clock.nowMs()
         relay.head(response)
         if (!canRelay(response, decoded)) {
@@ -201,6 +205,14 @@
         services.crashes.quarantine.recordAnswer(unproven.parts)
     }
 
+    private fun recordResponseEnd() {
+        when {
+            unproven == null || isProven -> Unit
+            isFramed -> recordProof()
+            else -> services.crashes.detector.recordEndWithConnection(unproven) { services.crashes.quarantine.recordAnswer(unproven.parts) }
+        }
+    }
+
     private fun recordResponse() =
         services.loads.recordFirstByte(selected.load, promptTokens, services.clock.nowMs() - startedAtMs, head?.load)
 
@@ -209,7 +221,7 @@
         if (!hasRecordedResponse) recordResponse()
         hasRecordedResponse = true
         val isRejected = head.isNotRun || head.status == MISDIRECTED
-        if (head.isSigned && !isRejected) recordProof()
+        if (head.isSigned && !isRejected) recordResponseEnd()
         when {
             isRejected -> endNotRun(head.status)
             head.status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() ->
