Name the late sends and the faults of a soak run that fails

Change: the violation names each late send with its instance and time, and a failure prints the schedule of the faults.

--- a/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
@@ -111,7 +111,10 @@
                     it.atMs > fifthCrashMs + FaultSchedule.IN_TOUCH_MS &&
                     schedule.isCalmBefore(it.atMs, FaultSchedule.IN_TOUCH_MS)
             }
-        return "${late.size} requests with a fatal prompt reached workers after the fifth crash".takeIf { late.size > TOLERATED_SENDS }
+        val instancesById = requests.associate { it.id to it.instance }
+        val sends = late.sortedBy { it.atMs }.joinToString { "${it.request.id} of ${instancesById[it.request.id]} at ${it.atMs} ms" }
+        return "${late.size} requests with a fatal prompt reached workers after the fifth crash at $fifthCrashMs ms: $sends"
+            .takeIf { late.size > TOLERATED_SENDS }
     }
 
     private fun executionViolation(
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -46,6 +46,9 @@
     @Volatile
     private var isFinished = false
 
+    /** The faults that are injected, in their order. */
+    val faults: List<ScheduledFault> get() = schedule.faults
+
     /** Starts the deployment, sends requests while the faults are injected, and checks the guarantees afterwards. */
     fun run(): SoakOutcome {
         publishConfiguration(listOf(FaultSchedule.PERMANENT_KEY, FaultSchedule.WITHDRAWN_KEY))
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
@@ -17,9 +17,10 @@
         seeds().map { seed ->
             DynamicTest.dynamicTest("seed $seed") {
                 val folder = File("target/soak/seed-$seed").apply { mkdirs() }
-                val outcome = SoakRun(seed, folder).use { it.run() }
+                val run = SoakRun(seed, folder)
+                val outcome = run.use { it.run() }
                 println("soak seed $seed: ${outcome.requests} requests, served after the faults ${outcome.servedFractionAfterFaults}")
-                assertEquals(emptyList(), outcome.violations.take(MAX_SHOWN_VIOLATIONS), "logs in ${folder.path}")
+                assertEquals(emptyList(), outcome.violations.take(MAX_SHOWN_VIOLATIONS), "logs in ${folder.path}, faults ${run.faults}")
                 assertTrue(outcome.requests > MIN_REQUESTS, "too few requests were sent: ${outcome.requests}")
                 assertTrue(
                     outcome.servedFractionAfterFaults >= MIN_SERVED_FRACTION,
