Send reports of crashes together with the clearances of their parts

What callers saw: for about 50 ms after an instance joined, requests whose prompts shared two common parts with a fatal one were refused as quarantined, with a Retry-After of minutes. Cause: evidence was sent as reports first and clearances after them, each in its own datagram. An instance that had received the reports alone, because the rest was on its way or lost, suspected parts that all others knew to be harmless. Ruled out: a wrong attribution from complete evidence; the other instances had the right quarantine at that time. Change: a report travels in one datagram with the clearances of its parts, so whatever subset arrives, in any order, leads to no suspicion that the sender does not have.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
@@ -44,7 +44,10 @@
     val crash: CrashId,
     val atMs: Long,
     val suspects: List<ReportedSuspect>,
-)
+) {
+    /** The parts of all suspects. */
+    val parts: Set<PromptPartId> get() = suspects.flatMapTo(HashSet()) { it.parts }
+}
 
 /** States that requests with [parts] were answered after [crash], so that these parts did not cause it. */
 data class Clearance(
@@ -138,14 +141,12 @@
     private fun index(report: CrashReport) {
         digest += hashOf(report.id)
         val cleared = clearedParts.getOrPut(report.crash) { HashSet() }
-        for (part in partsOf(report)) if (part !in cleared) crashesBySuspect.getOrPut(part) { HashSet() } += report.crash
+        for (part in report.parts) if (part !in cleared) crashesBySuspect.getOrPut(part) { HashSet() } += report.crash
     }
 
-    private fun partsOf(report: CrashReport): Set<PromptPartId> = report.suspects.flatMapTo(HashSet()) { it.parts }
-
     /** Returns the clearance by the answers that this instance has seen since the crash, although the report arrives only now. */
     private fun clearanceByLaterAnswers(report: CrashReport): Clearance =
-        Clearance(report.crash, partsOf(report).filterTo(HashSet()) { part -> (answeredAtMs[part] ?: Long.MIN_VALUE) > report.atMs })
+        Clearance(report.crash, report.parts.filterTo(HashSet()) { part -> (answeredAtMs[part] ?: Long.MIN_VALUE) > report.atMs })
 
     /** Adds [clearance] and returns its new part, or null if there is none. That of an unknown crash is sent again with its report. */
     private fun addClearance(clearance: Clearance): Clearance? {
--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/EvidenceMessage.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/EvidenceMessage.kt
@@ -32,23 +32,48 @@
     ): List<ByteArray> =
         when (message) {
             is EvidenceMessage.Digest -> listOf(encode(Datagram(digest = message.value)))
-            is EvidenceMessage.Evidence ->
-                message.delta.reports.map { encode(Datagram(report = encode(it, nowMs))) } +
-                    message.delta.clearances
-                        .flatMap { clearance -> clearance.parts.chunked(MAX_PARTS).map { Clearance(clearance.crash, it.toSet()) } }
-                        .map { encode(Datagram(clearance = encode(it))) }
+            is EvidenceMessage.Evidence -> encode(message.delta, nowMs)
         }
 
+    /**
+     * A report is sent together with the clearances of its parts. If they could be lost or delayed separately, the receiver would suspect
+     * parts that others know to be harmless, and refuse sound requests.
+     */
+    private fun encode(
+        delta: EvidenceDelta,
+        nowMs: Long,
+    ): List<ByteArray> {
+        val clearedParts = delta.clearances.groupBy({ it.crash }, { it.parts }).mapValues { (_, parts) -> parts.flatten().toSet() }
+        val reportedParts = delta.reports.groupBy({ it.crash }, { it.parts }).mapValues { (_, parts) -> parts.flatten().toSet() }
+        val reports =
+            delta.reports.map { report ->
+                val cleared = clearedParts[report.crash].orEmpty() intersect report.parts
+                val clearance = Clearance(report.crash, cleared).takeIf { cleared.isNotEmpty() }
+                encode(Datagram(report = encode(report, nowMs), clearance = clearance?.let(::encode)))
+            }
+        val clearances =
+            clearedParts
+                .flatMap { (crash, parts) ->
+                    (parts - reportedParts[crash].orEmpty()).chunked(MAX_PARTS).map { Clearance(crash, it.toSet()) }
+                }.map { encode(Datagram(clearance = encode(it))) }
+        return reports + clearances
+    }
+
     /** Decodes [bytes], received at [nowMs], or returns null if they are not a valid message. */
     fun decodeOrNull(
         bytes: ByteArray,
         nowMs: Long,
     ): EvidenceMessage? {
         val datagram = decodeCborOrNull<Datagram>(bytes) ?: return null
+        val clearances = listOfNotNull(datagram.clearance?.let(::decode))
         return when {
             datagram.digest != null -> EvidenceMessage.Digest(datagram.digest)
-            datagram.report != null -> decode(datagram.report, nowMs)?.let { EvidenceMessage.Evidence(EvidenceDelta(listOf(it))) }
-            datagram.clearance != null -> EvidenceMessage.Evidence(EvidenceDelta(clearances = listOf(decode(datagram.clearance))))
+            datagram.report != null ->
+                decode(
+                    datagram.report,
+                    nowMs,
+                )?.let { EvidenceMessage.Evidence(EvidenceDelta(listOf(it), clearances)) }
+            clearances.isNotEmpty() -> EvidenceMessage.Evidence(EvidenceDelta(clearances = clearances))
             else -> null
         }
     }
@@ -95,7 +120,7 @@
     const val MAX_PARTS = 32
 }
 
-/** Exactly one of the fields is set. */
+/** One of the fields is set, or a report with the clearance of its parts. */
 @Serializable
 private class Datagram(
     @SerialName("d") val digest: Long? = null,
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
@@ -96,6 +96,29 @@
         assertEquals(-5, assertIs<EvidenceMessage.Digest>(digest).value)
     }
 
+    @TestFactory
+    fun `an instance that receives only some datagrams suspects no part that another knows to be harmless`() =
+        (1L..SEEDS).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val random = Random(seed)
+                val sender = CrashEvidence()
+                val reports =
+                    List(8) { report("h${it % 4}", it.toLong(), 1_000L, randomPrompt(random), crash = CrashId(BackendId("w${it % 3}"), 1)) }
+                sender.merge(EvidenceDelta(reports), 2_000)
+                repeat(4) { sender.recordAnswer(partsOf(randomPrompt(random)), 2_000) }
+                val suspected = sender.crashes(2_000).associate { crash -> crash.id to crash.suspects.flatMap { it.parts } }
+                val receiver = CrashEvidence()
+                for (datagram in EvidenceCodec.encode(EvidenceMessage.Evidence(sender.all(2_000)), 2_000).shuffled(random)) {
+                    val message = assertIs<EvidenceMessage.Evidence>(EvidenceCodec.decodeOrNull(datagram, 2_000))
+                    receiver.merge(message.delta, 2_000)
+                    for (crash in receiver.crashes(2_000)) {
+                        assertEquals(emptyList(), crash.suspects.flatMap { it.parts } - suspected.getValue(crash.id).toSet(), "${crash.id}")
+                    }
+                }
+                assertEquals(sender.digest, receiver.digest)
+            }
+        }
+
     @TestFactory
     fun `bytes that are no message are rejected without an exception`() =
         (1L..SEEDS).map { seed ->
