Let an instance learn of crashes before it sends requests that may cause them

Cause: an instance that has started knows of no crash until its first round of digests after it has found the others, half a second or more. It sent every fatal prompt that came in that time, with all its attempts. The same holds after a pause of the process. Change: EvidenceCatchUp asks others for their evidence as soon as they are known, every 50 ms, and holds requests with shared prompt parts back until a reply, for at most a second. A request that is read at the end of a pause, before any timer, waits as well. Measured: PromptPartThatCrashesWorkersTest, "an instance that joins sends no request ...": 4 crashes before, none after. EvidenceCatchUpTest passes; QuarantineSimulationTest and CrashEvidenceTest pass as before.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/EvidenceMessage.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/EvidenceMessage.kt
@@ -20,6 +20,14 @@
     class Evidence(
         val delta: EvidenceDelta,
     ) : EvidenceMessage
+
+    /** Like [Digest], from an instance that may lack evidence. A receiver that lacks none also replies with [CatchUpReply]. */
+    class CatchUpRequest(
+        val digest: Long,
+    ) : EvidenceMessage
+
+    /** States that all evidence of the sender was sent before this message. */
+    data object CatchUpReply : EvidenceMessage
 }
 
 /** Encodes evidence for datagrams. Times are sent as ages, because the clocks of instances are not compared. */
@@ -33,6 +41,8 @@
         when (message) {
             is EvidenceMessage.Digest -> listOf(encode(Datagram(digest = message.value)))
             is EvidenceMessage.Evidence -> encode(message.delta, nowMs)
+            is EvidenceMessage.CatchUpRequest -> listOf(encode(Datagram(catchUpDigest = message.digest)))
+            EvidenceMessage.CatchUpReply -> listOf(encode(Datagram(isCatchUpReply = true)))
         }
 
     /**
@@ -68,6 +78,8 @@
         val clearances = listOfNotNull(datagram.clearance?.let(::decode))
         return when {
             datagram.digest != null -> EvidenceMessage.Digest(datagram.digest)
+            datagram.catchUpDigest != null -> EvidenceMessage.CatchUpRequest(datagram.catchUpDigest)
+            datagram.isCatchUpReply -> EvidenceMessage.CatchUpReply
             datagram.report != null ->
                 decode(
                     datagram.report,
@@ -126,6 +138,8 @@
     @SerialName("d") val digest: Long? = null,
     @SerialName("r") val report: ReportRecord? = null,
     @SerialName("c") val clearance: ClearanceRecord? = null,
+    @SerialName("u") val catchUpDigest: Long? = null,
+    @SerialName("o") val isCatchUpReply: Boolean = false,
 )
 
 @Serializable
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
@@ -94,6 +94,11 @@
         assertEquals(sent.clearances, received.flatMap { it.clearances })
         val digest = EvidenceCodec.decodeOrNull(EvidenceCodec.encode(EvidenceMessage.Digest(-5), 0).single(), 0)
         assertEquals(-5, assertIs<EvidenceMessage.Digest>(digest).value)
+        val request = EvidenceCodec.decodeOrNull(EvidenceCodec.encode(EvidenceMessage.CatchUpRequest(7), 0).single(), 0)
+        assertEquals(7, assertIs<EvidenceMessage.CatchUpRequest>(request).digest)
+        assertIs<EvidenceMessage.CatchUpReply>(
+            EvidenceCodec.decodeOrNull(EvidenceCodec.encode(EvidenceMessage.CatchUpReply, 0).single(), 0),
+        )
     }
 
     @TestFactory
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -136,7 +136,7 @@
             shutdownAdmission,
             codecs.backend,
             pieceExecutor,
-            CrashProtection(crashDetector, crashQuarantine),
+            CrashProtection(crashDetector, crashQuarantine, evidenceExchange.catchUp),
             log,
             metrics,
         )
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
@@ -136,7 +136,8 @@
         scheduler.schedule(REFRESH_DELAY_MS, ::refresh)
     }
 
-    private fun refresh() {
+    /** Determines the quarantines from all evidence. This follows shortly after each change of the evidence without being called. */
+    fun refresh() {
         isRefreshScheduled = false
         val nowMs = clock.nowMs()
         quarantines = findQuarantines(evidence.crashes(nowMs).map(::observe))
--- /dev/null
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
@@ -0,0 +1,75 @@
+package io.monsoonpath.gateway.crash
+
+import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.model.ClockMs
+
+/**
+ * Holds requests back while this process may lack evidence that the other instances have: after its start, and after a pause.
+ *
+ * The wait is short and bounded, because the others may be silent, or may have started at the same time. Must be used on the event loop
+ * only.
+ *
+ * @param ask asks other instances for their evidence
+ */
+class EvidenceCatchUp(
+    private val clock: ClockMs,
+    private val scheduler: Scheduler,
+    private val ask: () -> Unit,
+) {
+    private val waiting = ArrayList<() -> Unit>()
+    private var endsAtMs = Long.MIN_VALUE
+    private var lastAliveAtMs = clock.nowMs()
+
+    /** Whether this process has the evidence of the others, or has waited for it long enough. */
+    var isComplete = true
+        private set
+
+    /** Starts to catch up. */
+    fun start() {
+        isComplete = false
+        lastAliveAtMs = clock.nowMs()
+        endsAtMs = lastAliveAtMs + LIMIT_MS
+        askUntil(endsAtMs)
+    }
+
+    private fun askUntil(endAtMs: Long) {
+        when {
+            isComplete || endAtMs != endsAtMs -> Unit
+            clock.nowMs() >= endAtMs -> complete()
+            else -> {
+                ask()
+                scheduler.schedule(ASK_INTERVAL_MS) { askUntil(endAtMs) }
+            }
+        }
+    }
+
+    /** Records that this process is running; starts to catch up if it was paused. Must be called about every half second. */
+    fun recordAlive() {
+        val nowMs = clock.nowMs()
+        if (nowMs - lastAliveAtMs > PAUSE_MS) start()
+        lastAliveAtMs = nowMs
+    }
+
+    /** Records that the evidence of another instance has arrived. */
+    fun complete() {
+        isComplete = true
+        val actions = waiting.toList()
+        waiting.clear()
+        actions.forEach { it() }
+    }
+
+    /** Runs [action] as soon as [isComplete], which is at once if this process has neither started nor paused recently. */
+    fun whenComplete(action: () -> Unit) {
+        // A request may arrive at the end of a pause before any timer.
+        recordAlive()
+        if (isComplete) action() else waiting += action
+    }
+
+    private companion object {
+        const val LIMIT_MS = 1_000L
+        const val ASK_INTERVAL_MS = 50L
+
+        /** Longer than a timer is late on a busy machine. */
+        const val PAUSE_MS = 1_500L
+    }
+}
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
@@ -5,6 +5,7 @@
 import io.monsoonpath.coordination.crash.EvidenceMessage
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.crash.CrashQuarantine
+import io.monsoonpath.gateway.crash.EvidenceCatchUp
 import io.monsoonpath.gateway.crash.EvidencePublisher
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
@@ -26,8 +27,8 @@
  * noticed.
  *
  * New evidence is sent at once to all instances of a small fleet, and to a few of a large one, which forward it. Whatever is lost is
- * repaired by comparing digests with random instances in each round; a new instance receives everything in the same way. Must be used on
- * the event loop only.
+ * repaired by comparing digests with random instances in each round. An instance that has started or was paused asks for everything at
+ * once. Must be used on the event loop only.
  *
  * @param localAddress the address of this instance; all instances use the same port
  */
@@ -43,6 +44,9 @@
 ) : EvidencePublisher {
     private var channel: Channel? = null
 
+    /** Holds requests back until this instance has received the evidence of another one. */
+    val catchUp = EvidenceCatchUp(clock, scheduler) { send(randomPeers(DIGEST_FANOUT), EvidenceMessage.CatchUpRequest(quarantine.digest)) }
+
     /** Binds the port and starts the rounds. */
     fun start() {
         channel =
@@ -53,7 +57,13 @@
                 .bind(localAddress.host, localAddress.port)
                 .sync()
                 .channel()
-        scheduler.scheduleRepeatedly(ROUND_INTERVAL_MS) { send(randomPeers(DIGEST_FANOUT), EvidenceMessage.Digest(quarantine.digest)) }
+        if (membership.hasOtherSeeds) catchUp.start()
+        scheduler.scheduleRepeatedly(ROUND_INTERVAL_MS, ::runRound)
+    }
+
+    private fun runRound() {
+        catchUp.recordAlive()
+        send(randomPeers(DIGEST_FANOUT), EvidenceMessage.Digest(quarantine.digest))
     }
 
     override fun publish(delta: EvidenceDelta) = send(randomPeers(PUBLISH_FANOUT), EvidenceMessage.Evidence(delta))
@@ -82,14 +92,29 @@
         from: String,
         message: EvidenceMessage,
     ) = when (message) {
-        is EvidenceMessage.Digest ->
-            if (message.value != quarantine.digest) send(listOf(from), EvidenceMessage.Evidence(quarantine.allEvidence())) else Unit
+        is EvidenceMessage.Digest -> sendEvidence(from, message.value)
+        is EvidenceMessage.CatchUpRequest -> {
+            sendEvidence(from, message.digest)
+            if (catchUp.isComplete) send(listOf(from), EvidenceMessage.CatchUpReply) else Unit
+        }
+        EvidenceMessage.CatchUpReply -> {
+            quarantine.refresh()
+            catchUp.complete()
+        }
         is EvidenceMessage.Evidence -> {
             val added = quarantine.merge(message.delta)
             if (!added.isEmpty && membership.liveMembers.size > PUBLISH_FANOUT) publish(added) else Unit
         }
     }
 
+    /** Sends all evidence to [host] if its evidence, which has the given [digest], differs. */
+    private fun sendEvidence(
+        host: String,
+        digest: Long,
+    ) {
+        if (digest != quarantine.digest) send(listOf(host), EvidenceMessage.Evidence(quarantine.allEvidence()))
+    }
+
     private inner class DatagramHandler : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             ctx: ChannelHandlerContext,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
@@ -53,7 +53,9 @@
         private set
 
     private var eligibleHostsChangedAtMs = clock.nowMs()
-    private val hasOtherSeeds = seeds.any { it != localAddress.host }
+
+    /** Whether this instance joins others. */
+    val hasOtherSeeds = seeds.any { it != localAddress.host }
     private var joiningSinceMs = clock.nowMs()
 
     /** Whether enough time has passed since the start, or since a pause of the process, to have received the digests of all members. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -216,7 +216,11 @@
     }
 
     private fun startNextAttempt() {
-        if (isQuarantined() || isTooLongForShutdown(CALL_KIND, CALL_DEVIATIONS)) return
+        if (hasSharedParts) services.crashes.catchUp.whenComplete(::makeAttempt) else makeAttempt()
+    }
+
+    private fun makeAttempt() {
+        if (isFinished || isQuarantined() || isTooLongForShutdown(CALL_KIND, CALL_DEVIATIONS)) return
         val pool = context.table.poolOf(context.pool)
         val selected = pool?.let { services.selector.select(it, context.head.promptParts, triedBackends, nowMs()) }
         if (selected == null) {
