Reject a request whose body arrives later than its caller waits

What callers saw: nothing; an operator would see connections and memory held without end. Users reported stalled streams that sent a byte now and then and never ended. Cause: only the time between two parts of a body was bounded, and the time of the request counted from the end of its body. A body that arrived byte by byte within 25 s was sent to a worker although its caller waits for 1.5 s. Ruled out: the same for responses. Slow responses and streams complete, and stalled ones end with the time of their request: covered by SlowExchangeTest now, which passed before. A request also runs on at a worker that lost its entry because it reported too late. Change: the time of a request counts from its head, as the caller's does. A body that is incomplete when it has passed gets 408, or after ten minutes if the caller does not state its time. Measured: SlowExchangeTest, "a body that arrives later than its caller waits": 200 after 25 s before, 408 within the bound after. GatewayTest passes (41 tests).

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -47,6 +47,10 @@
     private val queuedMessages = ArrayDeque<Any>()
     private var timer: ScheduledFuture<*>? = null
     private var isReadingHead = false
+    private var headReceivedAtMs = 0L
+
+    /** When the caller gives up the request whose body is being read. */
+    private var bodyEndsAtMs = 0L
     private var isClosing = false
 
     /** Whether a request is being read or served. */
@@ -113,7 +117,9 @@
         }
         head = request
         body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS)
-        restartTimer(limits().idleTimeoutMs)
+        headReceivedAtMs = clock.nowMs()
+        bodyEndsAtMs = headReceivedAtMs + minOf(handler.timeoutMs(request) ?: MAX_BODY_TIME_MS, MAX_BODY_TIME_MS)
+        awaitBody()
         if (HttpUtil.is100ContinueExpected(request)) {
             context?.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
         }
@@ -129,12 +135,15 @@
         when {
             body.readableBytes() > limits().maxBodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             content is LastHttpContent -> serve()
-            else -> restartTimer(limits().idleTimeoutMs)
+            else -> awaitBody()
         }
     }
 
+    /** A body that arrives byte by byte must not hold the connection for longer than its caller waits. */
+    private fun awaitBody() = restartTimer(minOf(limits().idleTimeoutMs, bodyEndsAtMs - clock.nowMs()))
+
     private fun serve() {
-        val request = CallerRequest(checkNotNull(head), checkNotNull(body), clock.nowMs())
+        val request = CallerRequest(checkNotNull(head), checkNotNull(body), headReceivedAtMs)
         head = null
         body = null
         timer?.cancel(false)
@@ -313,6 +322,9 @@
     private companion object {
         const val MAX_QUEUED_MESSAGES = 32
         const val MAX_BODY_COMPONENTS = 64
+
+        /** The longest time in which a body may arrive if its caller does not state how long it waits. */
+        const val MAX_BODY_TIME_MS = 600_000L
         const val MS_PER_S = 1_000L
         const val KEEP_ALIVE = "keep-alive"
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerRequest.kt
@@ -10,7 +10,7 @@
  * Represents the complete request of a caller.
  *
  * @property body the body; released when the response is finished
- * @property receivedAtMs the time in milliseconds at which the request was complete
+ * @property receivedAtMs the time in milliseconds at which the head was complete, from which the time of the request counts
  */
 class CallerRequest(
     val head: HttpRequest,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
@@ -11,11 +11,15 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 
 /** Handles complete requests of callers. */
-fun interface RequestHandler {
+interface RequestHandler {
+    /** Returns how long the caller waits for the response to a request with [head], in milliseconds, or null if that is not known. */
+    fun timeoutMs(head: HttpRequest): Long?
+
     /** Starts serving [request], whose response goes to [writer]; the returned object is notified if the caller disconnects. */
     fun handle(
         request: CallerRequest,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestDispatcher.kt
@@ -4,12 +4,15 @@
 import io.monsoonpath.gateway.http.RequestHandler
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.monsoonpath.gateway.http.RunningRequest
+import io.netty.handler.codec.http.HttpRequest
 
 /** Applies the filters to the requests of callers, serves those that pass and refuses the others. */
 class RequestDispatcher(
     private val filters: RequestFilters,
     private val services: RequestServices,
 ) : RequestHandler {
+    override fun timeoutMs(head: HttpRequest): Long? = filters.timeoutMs(head)
+
     override fun handle(
         request: CallerRequest,
         writer: ResponseWriter,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestFilters.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestFilters.kt
@@ -9,6 +9,7 @@
 import io.monsoonpath.gateway.http.DecodedHead
 import io.monsoonpath.gateway.http.RequestHead
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
 
 /** The result of filtering a request. */
 sealed interface FilterResult {
@@ -31,6 +32,9 @@
     private val configuration: ConfigurationHolder,
     private val codec: CallerCodec,
 ) {
+    /** Returns how long the caller of a request with [head] waits for its response, in milliseconds, or null if it does not say so. */
+    fun timeoutMs(head: HttpRequest): Long? = (codec.decode(head) as? DecodedHead.Valid)?.head?.timeoutMs
+
     /** Returns [request] with its route, pool and workspace, or the reason for which it is refused. */
     fun apply(request: CallerRequest): FilterResult =
         when (val decoded = codec.decode(request.head)) {
