Run the requests that waited for evidence one by one

Cause: requests that waited for the evidence of other instances were started in one loop. One that fails would have ended the start of all others, which would then have waited until their deadlines. Change: each is scheduled by itself; the scheduler logs a failure and continues. Measured: EvidenceCatchUpTest, PromptPartThatCrashesWorkersTest and GatewayTest pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
@@ -53,9 +53,9 @@
     /** Records that the evidence of another instance has arrived. */
     fun complete() {
         isComplete = true
-        val actions = waiting.toList()
+        // Scheduled one by one, so that an action that fails does not end the others.
+        waiting.forEach { scheduler.schedule(0, it) }
         waiting.clear()
-        actions.forEach { it() }
     }
 
     /** Runs [action] as soon as [isComplete], which is at once if this process has neither started nor paused recently. */
