Log when an instance has the evidence of the others

Cause: a request that was held back until the evidence of another instance arrived showed a gap between request.begun and attempt.sent that no line explained. Ruled out: nothing. Change: evidence.complete, with whether another instance replied, the time and the number of requests held back. A second reply has no effect. Measured: EvidenceCatchUpTest (7) and PromptPartThatCrashesWorkersTest (10) pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.gateway.crash
 
 import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
 
 /**
@@ -14,6 +15,7 @@
 class EvidenceCatchUp(
     private val clock: ClockMs,
     private val scheduler: Scheduler,
+    private val log: DecisionLog,
     private val ask: () -> Unit,
 ) {
     private val waiting = ArrayList<() -> Unit>()
@@ -35,7 +37,7 @@
     private fun askUntil(endAtMs: Long) {
         when {
             isComplete || endAtMs != endsAtMs -> Unit
-            clock.nowMs() >= endAtMs -> complete()
+            clock.nowMs() >= endAtMs -> complete(hasReply = false)
             else -> {
                 ask()
                 scheduler.schedule(ASK_INTERVAL_MS) { askUntil(endAtMs) }
@@ -51,8 +53,13 @@
     }
 
     /** Records that the evidence of another instance has arrived. */
-    fun complete() {
+    fun recordReply() {
+        if (!isComplete) complete(hasReply = true)
+    }
+
+    private fun complete(hasReply: Boolean) {
         isComplete = true
+        log.line("evidence.complete", "reply" to hasReply, "tookMs" to clock.nowMs() - (endsAtMs - LIMIT_MS), "held" to waiting.size)
         // Scheduled one by one, so that an action that fails does not end the others.
         waiting.forEach { scheduler.schedule(0, it) }
         waiting.clear()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
@@ -45,7 +45,8 @@
     private var channel: Channel? = null
 
     /** Holds requests back until this instance has received the evidence of another one. */
-    val catchUp = EvidenceCatchUp(clock, scheduler) { send(randomPeers(DIGEST_FANOUT), EvidenceMessage.CatchUpRequest(quarantine.digest)) }
+    val catchUp =
+        EvidenceCatchUp(clock, scheduler, log) { send(randomPeers(DIGEST_FANOUT), EvidenceMessage.CatchUpRequest(quarantine.digest)) }
 
     /** Binds the port and starts the rounds. */
     fun start() {
@@ -99,7 +100,7 @@
         }
         EvidenceMessage.CatchUpReply -> {
             quarantine.refresh()
-            catchUp.complete()
+            catchUp.recordReply()
         }
         is EvidenceMessage.Evidence -> {
             val added = quarantine.merge(message.delta)
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUpTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUpTest.kt
@@ -1,8 +1,10 @@
 package io.monsoonpath.gateway.crash
 
 import io.monsoonpath.gateway.VirtualTimeScheduler
+import io.monsoonpath.gateway.log.DecisionLog
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import java.io.ByteArrayOutputStream
 import kotlin.test.assertEquals
 
 class EvidenceCatchUpTest {
@@ -37,12 +39,12 @@
     private fun sendTimeOf(case: Case): Long? {
         val scheduler = VirtualTimeScheduler(case.pausedMs)
         var asked = 0
-        val catchUp = EvidenceCatchUp({ scheduler.nowMs }, scheduler) { asked++ }
+        val catchUp = EvidenceCatchUp({ scheduler.nowMs }, scheduler, DecisionLog(ByteArrayOutputStream())) { asked++ }
         case.startAtMs?.let { scheduler.schedule(it) { catchUp.start() } }
         var sentAtMs: Long? = null
         // Before the rounds, as a request may be read before any timer at the end of a pause.
         scheduler.schedule(case.requestAtMs) { catchUp.whenComplete { sentAtMs = scheduler.nowMs } }
-        case.replyAtMs?.let { scheduler.schedule(it) { catchUp.complete() } }
+        case.replyAtMs?.let { scheduler.schedule(it) { catchUp.recordReply() } }
         for (atMs in 0L..END_MS step ROUND_MS) scheduler.schedule(atMs) { catchUp.recordAlive() }
         scheduler.advance(END_MS)
         if (case.startAtMs == null) assertEquals(0, asked)
