Attribute a crash by a retry even if its times are off by the delay of messages

What callers saw: one more engine crashed, with all requests on it, two seconds after instances had joined that had the evidence already. Cause: a retry is sent in the moment in which its first attempt crashes a server, and a crash counts only if its suspect was sent after the previous crash. Other instances know both times as ages, each off by the delay of its message, so the order of the two came out by chance. Ruled out: lost evidence, since three rounds of digests lie between the two times. Change: two times are compared with a tolerance of 50 ms. Servers that crash at the same moment still count as one crash. Measured: CrashAttributionTest, "a retry that seems to be sent before the first crash ...": failed before, passes after; its 16 other cases and QuarantineSimulationTest pass as before.

--- a/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
@@ -45,6 +45,11 @@
     val certainCrashes: Int = 3,
     /** The least sum over the crashes of one divided by the number of suspects, below which [certainCrashes] are needed. */
     val minWeight: Double = 0.5,
+    /**
+     * By how much the times of two crashes may be wrong relative to each other, in milliseconds. They come from other instances as ages,
+     * without the time that the message took, and a retry is sent in the same moment in which its first attempt crashes a server.
+     */
+    val toleranceMs: Long = 50,
     /** How long a quarantine waits for answers that clear parts in frequent use, in milliseconds. */
     val settleMs: Long = 300,
     /** The duration of a quarantine from its last crash, in milliseconds; doubled for each crash beyond [minCrashes]. */
@@ -60,8 +65,8 @@
  * that contains it was answered, and the cause is the combination of parts that the suspects of several crashes have in common. It is the
  * whole combination, so that sound requests with only some of the parts are still sent, and clear these parts by their answers.
  *
- * A crash counts only if its suspect was sent after the previous crash that counts. The crashes of servers that fail at the same moment
- * for another reason, such as the loss of a failure domain, therefore count as one.
+ * A crash counts only if its suspect was sent after the previous crash that counts, as far as can be told. The crashes of servers that
+ * fail at the same moment for another reason, such as the loss of a failure domain, therefore count as one.
  *
  * Deterministic: instances with the same crashes find the same quarantines, except for differences of their clocks.
  */
@@ -72,7 +77,7 @@
     val quarantines = ArrayList<PromptQuarantine>()
     var unexplained = crashes.sortedBy { it.atMs }
     while (true) {
-        val hypotheses = hypothesesOf(unexplained).filter { it.isEstablished(limits) }.sortedWith(MOST_LIKELY_FIRST)
+        val hypotheses = hypothesesOf(unexplained, limits).filter { it.isEstablished(limits) }.sortedWith(MOST_LIKELY_FIRST)
         val best = hypotheses.firstOrNull { it.isOnlyExplanation(hypotheses, limits) } ?: return quarantines
         quarantines += best.toQuarantine(limits)
         unexplained = unexplained - best.explained.toSet()
@@ -132,7 +137,10 @@
  * Returns the hypothesis for each part that is suspected in several crashes: the combination that always occurs together with it. Equal
  * ones are returned once. Most parts are suspected in one crash only, so the work is small even if each crash has many suspects.
  */
-private fun hypothesesOf(crashes: List<ObservedCrash>): List<Hypothesis> {
+private fun hypothesesOf(
+    crashes: List<ObservedCrash>,
+    limits: CrashAttributionLimits,
+): List<Hypothesis> {
     val crashesByPart = HashMap<PromptPartId, MutableList<ObservedCrash>>()
     for (crash in crashes) {
         for (part in crash.suspects.flatMapTo(HashSet()) { it.parts }) crashesByPart.getOrPut(part) { ArrayList() } += crash
@@ -141,7 +149,7 @@
         .filterValues { it.size > 1 }
         .map { (part, withPart) -> combinationWith(part, withPart) to withPart }
         .distinctBy { (parts, _) -> parts }
-        .map { (parts, withPart) -> hypothesisOf(parts, withPart) }
+        .map { (parts, withPart) -> hypothesisOf(parts, withPart, limits) }
 }
 
 private fun combinationWith(
@@ -157,6 +165,7 @@
 private fun hypothesisOf(
     parts: Set<PromptPartId>,
     crashes: List<ObservedCrash>,
+    limits: CrashAttributionLimits,
 ): Hypothesis {
     val explained = ArrayList<ObservedCrash>()
     val counted = ArrayList<ObservedCrash>()
@@ -165,7 +174,7 @@
         if (suspects.isEmpty()) continue
         explained += crash
         val previousAtMs = counted.lastOrNull()?.atMs
-        if (previousAtMs == null || suspects.any { it.sentAtMs >= previousAtMs }) counted += crash
+        if (previousAtMs == null || suspects.any { it.sentAtMs >= previousAtMs - limits.toleranceMs }) counted += crash
     }
     return Hypothesis(parts, explained, counted)
 }
--- a/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
@@ -29,6 +29,11 @@
                 listOf(crash(1_000, "b p"), crash(1_300, "b p", sentAtMs = 1_010)),
                 listOf("b p"),
             ),
+            Case(
+                "a retry that seems to be sent before the first crash because of delayed messages",
+                listOf(crash(1_000, "b p"), crash(1_150, "b p", sentAtMs = 970)),
+                listOf("b p"),
+            ),
             Case(
                 "two parts of unrelated requests explain two crashes equally well",
                 listOf(crash(1_000, "b p", "c"), crash(2_000, "d p", "c")),
