Give crashes at almost the same time no tolerance

Change: the tolerance applies only to crashes that are more than twice as far apart. Measured: CrashAttributionTest, "servers that crash together just after they received requests": failed before, passes after; its 17 other cases and QuarantineSimulationTest (180) pass.

--- a/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
@@ -46,8 +46,8 @@
     /** The least sum over the crashes of one divided by the number of suspects, below which [certainCrashes] are needed. */
     val minWeight: Double = 0.5,
     /**
-     * By how much the times of two crashes may be wrong relative to each other, in milliseconds. They come from other instances as ages,
-     * without the time that the message took, and a retry is sent in the same moment in which its first attempt crashes a server.
+     * By how much the time of a crash may be wrong, in milliseconds. Times come from other instances as ages, without the time that the
+     * message took, and a retry is sent in the same moment in which its first attempt crashes a server.
      */
     val toleranceMs: Long = 50,
     /** How long a quarantine waits for answers that clear parts in frequent use, in milliseconds. */
@@ -173,8 +173,19 @@
         val suspects = crash.suspects.filter { it.parts.containsAll(parts) }
         if (suspects.isEmpty()) continue
         explained += crash
-        val previousAtMs = counted.lastOrNull()?.atMs
-        if (previousAtMs == null || suspects.any { it.sentAtMs >= previousAtMs - limits.toleranceMs }) counted += crash
+        if (counted.isEmpty() || isLater(crash, suspects, counted.last().atMs, limits.toleranceMs)) counted += crash
     }
     return Hypothesis(parts, explained, counted)
 }
+
+/** Returns whether one of the [suspects] of [crash] was sent after the crash at [previousAtMs], as far as can be told. */
+private fun isLater(
+    crash: ObservedCrash,
+    suspects: List<SuspectRequest>,
+    previousAtMs: Long,
+    toleranceMs: Long,
+): Boolean {
+    // Servers that fail together may have received requests just before, so crashes at almost the same time are given no tolerance.
+    val slackMs = if (crash.atMs - previousAtMs > 2 * toleranceMs) toleranceMs else 0
+    return suspects.any { it.sentAtMs >= previousAtMs - slackMs }
+}
--- a/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
@@ -24,6 +24,11 @@
             Case("the part that two crashes have in common", listOf(crash(1_000, "b p"), crash(2_000, "c p")), listOf("p")),
             Case("parts that always occur together", listOf(crash(1_000, "b p"), crash(2_000, "b p")), listOf("b p")),
             Case("servers that crash at the same moment", listOf(crash(1_000, "a"), crash(1_010, "a"), crash(1_020, "a")), emptyList()),
+            Case(
+                "servers that crash together just after they received requests",
+                listOf(crash(1_000, "a", sentAtMs = 980), crash(1_040, "a", sentAtMs = 985), crash(1_090, "a", sentAtMs = 990)),
+                emptyList(),
+            ),
             Case(
                 "a request that was retried on another server",
                 listOf(crash(1_000, "b p"), crash(1_300, "b p", sentAtMs = 1_010)),
