Let a probe vouch only for attempts that ended before it

Cause: an answer without a length ends with its connection, as a crash does, and a probe decides which it was. While a probe for an earlier answer of the same server was on its way, the attempt that then crashed the server was decided by that probe, too: it had connected just before the crash, so the fatal prompt counted as answered and was cleared in all earlier crashes. Change: the result of a probe holds for the attempts that had ended when it started. If others end meanwhile, another probe follows. Measured: CrashDetectorTest, "a probe does not vouch ...": failed before ([fatal, sound] survived), passes after with the 7 other cases; PromptPartThatCrashesWorkersTest (10) and QuarantineSimulationTest (180) pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
@@ -52,6 +52,7 @@
         /** The suspects whose answers may be complete, with the actions to run if the server turns out to run on. */
         val possiblyAnswered = HashMap<UnprovenAttempt, () -> Unit>()
         var isProbing = false
+        var hasLossDuringProbe = false
         var isConfirmed = false
     }
 
@@ -123,29 +124,43 @@
         if (loss.isConfirmed) return report(id, loss, listOf(attempt))
         val nowMs = clock.nowMs()
         loss.suspects[attempt] = nowMs
-        if (loss.isProbing) return
+        if (loss.isProbing) {
+            loss.hasLossDuringProbe = true
+            return
+        }
         // The server may have answered others since an earlier loss, which must not clear what it received afterwards.
         loss.atMs = nowMs
         loss.suspects.values.removeIf { nowMs - it > CONFIRMATION_TIMEOUT_MS }
+        startProbe(id, loss)
+    }
+
+    /** Probes the server of [loss]. The result says nothing about attempts that are lost after this call. */
+    private fun startProbe(
+        id: CrashId,
+        loss: Loss,
+    ) {
         loss.isProbing = true
-        probe(attempt.server) { handleProbe(id, loss, it) }
+        loss.hasLossDuringProbe = false
+        val ended = loss.possiblyAnswered.keys.toSet()
+        probe(loss.server) { handleProbe(id, loss, ended, it) }
     }
 
     private fun handleProbe(
         id: CrashId,
         loss: Loss,
+        ended: Set<UnprovenAttempt>,
         result: ProbeResult,
     ) {
         loss.isProbing = false
         when (result) {
             ProbeResult.REFUSED -> confirm(id, "connection refused")
             ProbeResult.CONNECTED -> {
-                loss.suspects.keys -= loss.possiblyAnswered.keys
-                loss.possiblyAnswered.values.forEach { it() }
-                loss.possiblyAnswered.clear()
+                loss.suspects.keys -= ended
+                ended.mapNotNull(loss.possiblyAnswered::remove).forEach { it() }
             }
             ProbeResult.NO_RESPONSE -> Unit
         }
+        if (!loss.isConfirmed && loss.hasLossDuringProbe) startProbe(id, loss)
     }
 
     private fun isExpectedToRun(server: BackendServer): Boolean =
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import java.io.ByteArrayOutputStream
+import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class CrashDetectorTest {
@@ -70,6 +71,35 @@
             }
         }
 
+    /** A probe that had started before a crash vouched for the attempt that caused it, and its prompt was cleared. */
+    @Test
+    fun `a probe does not vouch for an attempt that ended after its start`() {
+        val scheduler = VirtualTimeScheduler()
+        val log = DecisionLog(ByteArrayOutputStream())
+        val directory = BackendDirectory(log)
+        val results = ArrayDeque(listOf(ProbeResult.CONNECTED, ProbeResult.REFUSED))
+        val crashes = ArrayList<List<Set<PromptPartId>>>()
+        val detector =
+            CrashDetector(
+                { scheduler.nowMs },
+                scheduler,
+                directory,
+                log,
+                { _, onResult -> results.removeFirst().let { result -> scheduler.schedule(50) { onResult(result) } } },
+                { _, _, suspects -> crashes += suspects.map { it.parts } },
+            )
+        directory.put(SERVER, 1)
+        val survived = ArrayList<String>()
+        for ((name, endsAtMs) in listOf("sound" to 100L, "fatal" to 120L)) {
+            val attempt = UnprovenAttempt(SERVER, setOf(PromptPartId(name)), sentAtMs = 50)
+            scheduler.schedule(50) { detector.recordStart(attempt) }
+            scheduler.schedule(endsAtMs) { detector.recordEndWithConnection(attempt) { survived += name } }
+        }
+        scheduler.advance(END_MS)
+        assertEquals(listOf("sound"), survived)
+        assertEquals(listOf(listOf(setOf(PromptPartId("fatal")))), crashes.toList())
+    }
+
     /** Returns the times of the reported crashes and the parts of their suspects. */
     private fun crashesOf(case: Case): List<Pair<Long, List<Set<PromptPartId>>>> {
         val scheduler = VirtualTimeScheduler()
