Keep the times of sends when several instances report a crash

Cause: each instance states how long before its own notice of a crash its requests were sent, but the time was counted from the earliest notice of all. A report that arrived with an earlier notice moved the sends of the others back, before the previous crash, which then did not count. Ruled out: an answer to the part; the log shows that nothing with it was sent or answered there in between. So more evidence alone ended it. Change: a send is counted from the notice of its own report. Measured: CrashEvidenceTest, "the times at which requests were sent ...": failed before (one send at 800, 1,500 lost), passes after.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
@@ -26,7 +26,7 @@
 /**
  * A request that an instance had sent to a backend server when that crashed.
  *
- * @property sentBeforeMs the time between the sending of the request and the crash, in milliseconds
+ * @property sentBeforeMs the time between the sending of the request and the crash, in milliseconds; negative if it was sent afterwards
  * @property parts the parts of its prompt that other requests may share
  */
 data class ReportedSuspect(
@@ -123,10 +123,17 @@
         return reports.values
             .groupBy { it.crash }
             .map { (id, group) ->
-                KnownCrash(id, group.minOf { it.atMs }, group.flatMap { it.suspects }.mapNotNull { withoutCleared(id, it) })
+                val atMs = group.minOf { it.atMs }
+                KnownCrash(id, atMs, group.flatMap { suspectsOf(it, atMs) }.mapNotNull { withoutCleared(id, it) })
             }.sortedBy { it.atMs }
     }
 
+    /** Returns the suspects of [report] relative to [crashAtMs]; instances notice a crash at different times. */
+    private fun suspectsOf(
+        report: CrashReport,
+        crashAtMs: Long,
+    ) = report.suspects.map { it.copy(sentBeforeMs = it.sentBeforeMs - (report.atMs - crashAtMs)) }
+
     /** Returns all evidence, for an instance whose digest differs. */
     fun all(nowMs: Long): EvidenceDelta {
         expire(nowMs)
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
@@ -23,6 +23,18 @@
         assertEquals(setOf(partsOf("a p"), partsOf("b")), crash.suspects.mapTo(HashSet()) { it.parts })
     }
 
+    /** The later an instance noticed a crash, the earlier its requests seemed to be sent, so reports that arrived ended a quarantine. */
+    @Test
+    fun `the times at which requests were sent do not depend on when other instances noticed the crash`() {
+        evidence.merge(EvidenceDelta(listOf(report("h1", 1, atMs = 1_700, "a"))), nowMs = 2_000)
+        assertEquals(listOf(1_500L), sendTimes(nowMs = 2_000))
+        evidence.merge(EvidenceDelta(listOf(report("h2", 1, atMs = 1_000, "b"))), nowMs = 2_000)
+        assertEquals(setOf(1_500L, 800L), sendTimes(nowMs = 2_000).toSet())
+    }
+
+    private fun sendTimes(nowMs: Long): List<Long> =
+        evidence.crashes(nowMs).flatMap { crash -> crash.suspects.map { crash.atMs - it.sentBeforeMs } }
+
     @Test
     fun `an answer clears its parts in all earlier crashes`() {
         evidence.merge(
