Date a crash to the first loss after the last answer

Cause: since each later loss moved the date of a crash, if a probe connected in between. Where something in front of a dead server still accepts connections, losses go on until the entry of the server goes, so the crash was dated to the last of them, after the sends of the next crashes. A connection is no sign of life there. Ruled out: the wait for the removal of an entry, which still begins again with each loss. Change: only an answer of the server lets a later loss date the crash anew. Three cases of CrashDetectorTest that relied on the probe have an answer in between now, with the same expectations; a fourth has losses without one.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
@@ -41,11 +41,14 @@
     private val probe: (BackendServer, (ProbeResult) -> Unit) -> Unit,
     private val onCrash: (CrashId, Long, List<ReportedSuspect>) -> Unit,
 ) {
-    /** A server that lost attempts and may have crashed; [atMs] is the time of the last loss that followed a sign of life. */
+    /** A server that lost attempts and may have crashed at [atMs], the time of the first loss since its last answer. */
     private class Loss(
         val server: BackendServer,
         var atMs: Long,
     ) {
+        var lastLossAtMs = atMs
+        var hasAnsweredSince = false
+
         /** The lost attempts, with the times of their losses. */
         val suspects = LinkedHashMap<UnprovenAttempt, Long>()
 
@@ -68,7 +71,13 @@
         running.getOrPut(crashIdOf(attempt.server)) { LinkedHashSet() } += attempt
     }
 
-    /** Records that [attempt] was answered, refused or cancelled, so that it can no longer crash its server. */
+    /** Records that [attempt] was answered by its server, which therefore runs on. */
+    fun recordAnswer(attempt: UnprovenAttempt) {
+        recordEnd(attempt)
+        losses[crashIdOf(attempt.server)]?.hasAnsweredSince = true
+    }
+
+    /** Records that [attempt] was refused or cancelled, so that it can no longer crash its server. */
     fun recordEnd(attempt: UnprovenAttempt) {
         val id = crashIdOf(attempt.server)
         val attempts = running[id] ?: return
@@ -110,9 +119,9 @@
         id: CrashId,
         loss: Loss,
     ) {
-        val expiresAtMs = loss.atMs + CONFIRMATION_TIMEOUT_MS
+        val expiresAtMs = loss.lastLossAtMs + CONFIRMATION_TIMEOUT_MS
         scheduler.schedule(expiresAtMs - clock.nowMs()) {
-            if (loss.atMs + CONFIRMATION_TIMEOUT_MS > expiresAtMs) scheduleExpiry(id, loss) else losses.remove(id)
+            if (loss.lastLossAtMs + CONFIRMATION_TIMEOUT_MS > expiresAtMs) scheduleExpiry(id, loss) else losses.remove(id)
         }
     }
 
@@ -123,14 +132,16 @@
         val id = crashIdOf(attempt.server)
         if (loss.isConfirmed) return report(id, loss, listOf(attempt))
         val nowMs = clock.nowMs()
+        // What the server received after its last answer must not be cleared by it, and what is lost after a crash must not date it.
+        if (loss.hasAnsweredSince) loss.atMs = nowMs
+        loss.hasAnsweredSince = false
+        loss.lastLossAtMs = nowMs
+        loss.suspects.values.removeIf { nowMs - it > CONFIRMATION_TIMEOUT_MS }
         loss.suspects[attempt] = nowMs
         if (loss.isProbing) {
             loss.hasLossDuringProbe = true
             return
         }
-        // The server may have answered others since an earlier loss, which must not clear what it received afterwards.
-        loss.atMs = nowMs
-        loss.suspects.values.removeIf { nowMs - it > CONFIRMATION_TIMEOUT_MS }
         startProbe(id, loss)
     }
 
@@ -156,6 +167,7 @@
             ProbeResult.REFUSED -> confirm(id, "connection refused")
             ProbeResult.CONNECTED -> {
                 loss.suspects.keys -= ended
+                if (ended.isNotEmpty()) loss.hasAnsweredSince = true
                 ended.mapNotNull(loss.possiblyAnswered::remove).forEach { it() }
             }
             ProbeResult.NO_RESPONSE -> Unit
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -201,7 +201,7 @@
     private fun recordProof() {
         if (unproven == null || isProven) return
         isProven = true
-        services.crashes.detector.recordEnd(unproven)
+        services.crashes.detector.recordAnswer(unproven)
         services.crashes.quarantine.recordAnswer(unproven.parts)
     }
 
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
@@ -28,6 +28,8 @@
         val name: String,
         val losses: List<Loss>,
         val entryRemovedAtMs: Long? = null,
+        /** When the server answers another attempt. */
+        val answersAtMs: List<Long> = emptyList(),
         /** The time of the crash that is expected to be reported, or null if none is. */
         val crashAtMs: Long?,
         /** The times of the losses whose attempts are expected to be suspected. */
@@ -43,6 +45,7 @@
             Case(
                 "an earlier lost connection does not date a crash",
                 listOf(Loss(100, ProbeResult.CONNECTED), Loss(3_000, ProbeResult.REFUSED)),
+                answersAtMs = listOf(2_000),
                 crashAtMs = 3_000,
                 suspects = listOf(100, 3_000),
             ),
@@ -50,15 +53,24 @@
                 "an earlier lost connection does not end the wait for the removal of an entry",
                 listOf(Loss(100, ProbeResult.CONNECTED), Loss(7_500, ProbeResult.CONNECTED)),
                 8_500,
+                answersAtMs = listOf(2_000),
                 crashAtMs = 7_500,
                 suspects = listOf(100, 7_500),
             ),
             Case(
                 "attempts that were lost long before a crash are not suspected",
                 listOf(Loss(100, ProbeResult.CONNECTED), Loss(5_000, ProbeResult.CONNECTED), Loss(9_000, ProbeResult.REFUSED)),
+                answersAtMs = listOf(2_000, 6_000),
                 crashAtMs = 9_000,
                 suspects = listOf(5_000, 9_000),
             ),
+            Case(
+                "attempts that are lost after a crash do not date it",
+                listOf(Loss(100, ProbeResult.CONNECTED), Loss(400, ProbeResult.CONNECTED), Loss(700, ProbeResult.CONNECTED)),
+                900,
+                crashAtMs = 100,
+                suspects = listOf(100, 400, 700),
+            ),
         )
 
     @TestFactory
@@ -125,6 +137,11 @@
                 detector.recordLoss(attempt)
             }
         }
+        for (atMs in case.answersAtMs) {
+            val attempt = UnprovenAttempt(SERVER, setOf(PromptPartId("answered$atMs")), atMs - 50)
+            scheduler.schedule(atMs - 50) { detector.recordStart(attempt) }
+            scheduler.schedule(atMs) { detector.recordAnswer(attempt) }
+        }
         case.entryRemovedAtMs?.let { scheduler.schedule(it) { directory.remove(SERVER.id, "test") } }
         scheduler.advance(END_MS)
         return crashes
