Let an answer count only if its server still accepts connections later

Cause: a server that crashes may accept connections for a moment longer. A probe that connected then vouched for the attempt that caused the crash, and its prompt was cleared in all earlier crashes. Ruled out: a probe on its way before the crash; none had been started for that server. Change: a connection proves nothing about attempts that ended less than 100 ms before the probe; another probe follows for them.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashDetector.kt
@@ -56,6 +56,7 @@
         val possiblyAnswered = HashMap<UnprovenAttempt, () -> Unit>()
         var isProbing = false
         var hasLossDuringProbe = false
+        var isProbeScheduled = false
         var isConfirmed = false
     }
 
@@ -98,9 +99,7 @@
         attempt: UnprovenAttempt,
         onSurvived: () -> Unit,
     ) {
-        val loss = lossOf(attempt) ?: return
-        loss.possiblyAnswered[attempt] = onSurvived
-        record(attempt, loss)
+        lossOf(attempt)?.let { record(attempt, it, onSurvived) }
     }
 
     private fun lossOf(attempt: UnprovenAttempt): Loss? {
@@ -128,6 +127,7 @@
     private fun record(
         attempt: UnprovenAttempt,
         loss: Loss,
+        onSurvived: (() -> Unit)? = null,
     ) {
         val id = crashIdOf(attempt.server)
         if (loss.isConfirmed) return report(id, loss, listOf(attempt))
@@ -137,42 +137,64 @@
         loss.hasAnsweredSince = false
         loss.lastLossAtMs = nowMs
         loss.suspects.values.removeIf { nowMs - it > CONFIRMATION_TIMEOUT_MS }
+        loss.possiblyAnswered.keys.retainAll(loss.suspects.keys)
         loss.suspects[attempt] = nowMs
-        if (loss.isProbing) {
-            loss.hasLossDuringProbe = true
-            return
-        }
-        startProbe(id, loss)
+        if (onSurvived != null) loss.possiblyAnswered[attempt] = onSurvived
+        loss.hasLossDuringProbe = loss.isProbing
+        probeUnlessProbing(id, loss)
     }
 
-    /** Probes the server of [loss]. The result says nothing about attempts that are lost after this call. */
+    /**
+     * Probes the server of [loss]. A connection proves that the attempts that ended well before it did not crash the server. It proves
+     * nothing about those that ended just before, because a server that crashes may accept connections for a moment longer.
+     */
     private fun startProbe(
         id: CrashId,
         loss: Loss,
     ) {
         loss.isProbing = true
         loss.hasLossDuringProbe = false
-        val ended = loss.possiblyAnswered.keys.toSet()
-        probe(loss.server) { handleProbe(id, loss, ended, it) }
+        val provable = loss.possiblyAnswered.keys.filter { clock.nowMs() - loss.suspects.getValue(it) >= SURVIVAL_MS }
+        probe(loss.server) { handleProbe(id, loss, provable, it) }
     }
 
     private fun handleProbe(
         id: CrashId,
         loss: Loss,
-        ended: Set<UnprovenAttempt>,
+        provable: List<UnprovenAttempt>,
         result: ProbeResult,
     ) {
         loss.isProbing = false
         when (result) {
             ProbeResult.REFUSED -> confirm(id, "connection refused")
             ProbeResult.CONNECTED -> {
-                loss.suspects.keys -= ended
-                if (ended.isNotEmpty()) loss.hasAnsweredSince = true
-                ended.mapNotNull(loss.possiblyAnswered::remove).forEach { it() }
+                loss.suspects.keys -= provable.toSet()
+                loss.hasAnsweredSince = loss.suspects.isEmpty()
+                provable.mapNotNull(loss.possiblyAnswered::remove).forEach { it() }
+                if (loss.possiblyAnswered.isNotEmpty()) scheduleProbe(id, loss)
             }
             ProbeResult.NO_RESPONSE -> Unit
         }
-        if (!loss.isConfirmed && loss.hasLossDuringProbe) startProbe(id, loss)
+        if (loss.hasLossDuringProbe) probeUnlessProbing(id, loss)
+    }
+
+    private fun scheduleProbe(
+        id: CrashId,
+        loss: Loss,
+    ) {
+        if (loss.isProbeScheduled) return
+        loss.isProbeScheduled = true
+        scheduler.schedule(SURVIVAL_MS) {
+            loss.isProbeScheduled = false
+            probeUnlessProbing(id, loss)
+        }
+    }
+
+    private fun probeUnlessProbing(
+        id: CrashId,
+        loss: Loss,
+    ) {
+        if (!loss.isProbing && !loss.isConfirmed && losses[id] === loss) startProbe(id, loss)
     }
 
     private fun isExpectedToRun(server: BackendServer): Boolean =
@@ -215,5 +237,8 @@
     private companion object {
         /** The entry of a crashed server expires after three heartbeats, and its removal is known everywhere within seconds. */
         const val CONFIRMATION_TIMEOUT_MS = 8_000L
+
+        /** How long a server must go on accepting connections after the end of an answer to have survived it. */
+        const val SURVIVAL_MS = 100L
     }
 }
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/CrashDetectorTest.kt
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import java.io.ByteArrayOutputStream
-import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class CrashDetectorTest {
@@ -83,34 +82,80 @@
             }
         }
 
-    /** A probe that had started before a crash vouched for the attempt that caused it, and its prompt was cleared. */
-    @Test
-    fun `a probe does not vouch for an attempt that ended after its start`() {
-        val scheduler = VirtualTimeScheduler()
-        val log = DecisionLog(ByteArrayOutputStream())
-        val directory = BackendDirectory(log)
-        val results = ArrayDeque(listOf(ProbeResult.CONNECTED, ProbeResult.REFUSED))
-        val crashes = ArrayList<List<Set<PromptPartId>>>()
-        val detector =
-            CrashDetector(
-                { scheduler.nowMs },
-                scheduler,
-                directory,
-                log,
-                { _, onResult -> results.removeFirst().let { result -> scheduler.schedule(50) { onResult(result) } } },
-                { _, _, suspects -> crashes += suspects.map { it.parts } },
-            )
-        directory.put(SERVER, 1)
-        val survived = ArrayList<String>()
-        for ((name, endsAtMs) in listOf("sound" to 100L, "fatal" to 120L)) {
-            val attempt = UnprovenAttempt(SERVER, setOf(PromptPartId(name)), sentAtMs = 50)
-            scheduler.schedule(50) { detector.recordStart(attempt) }
-            scheduler.schedule(endsAtMs) { detector.recordEndWithConnection(attempt) { survived += name } }
+    /** An attempt whose answer ended with its connection at [endsAtMs], as answers without a length do. */
+    private class Ended(
+        val name: String,
+        val endsAtMs: Long,
+    )
+
+    private class SurvivalCase(
+        val name: String,
+        val ended: List<Ended>,
+        /** The results of the probes, one after the other, each after 50 ms. */
+        val probes: List<ProbeResult>,
+        val survived: List<String>,
+        val suspects: List<String>,
+    )
+
+    private val survivalCases =
+        listOf(
+            SurvivalCase(
+                "an answer",
+                listOf(Ended("a", 100)),
+                listOf(ProbeResult.CONNECTED, ProbeResult.CONNECTED),
+                listOf("a"),
+                emptyList(),
+            ),
+            SurvivalCase("a crash", listOf(Ended("a", 100)), listOf(ProbeResult.REFUSED), emptyList(), listOf("a")),
+            SurvivalCase(
+                "a server that accepts connections for a moment after its crash",
+                listOf(Ended("a", 100)),
+                listOf(ProbeResult.CONNECTED, ProbeResult.REFUSED),
+                emptyList(),
+                listOf("a"),
+            ),
+            // The probe that is on its way at 270 ms had connected before the crash.
+            SurvivalCase(
+                "an attempt that ends after the start of a probe",
+                listOf(Ended("sound", 100), Ended("fatal", 270)),
+                listOf(ProbeResult.CONNECTED, ProbeResult.CONNECTED, ProbeResult.REFUSED),
+                listOf("sound"),
+                listOf("fatal"),
+            ),
+        )
+
+    /** A probe that connected just before or after a crash vouched for the attempt that caused it, and its prompt was cleared. */
+    @TestFactory
+    fun `an answer that ends with its connection counts if the server runs on`() =
+        survivalCases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val scheduler = VirtualTimeScheduler()
+                val log = DecisionLog(ByteArrayOutputStream())
+                val directory = BackendDirectory(log)
+                val results = ArrayDeque(case.probes)
+                val suspects = ArrayList<PromptPartId>()
+                val detector =
+                    CrashDetector(
+                        { scheduler.nowMs },
+                        scheduler,
+                        directory,
+                        log,
+                        { _, onResult -> results.removeFirst().let { result -> scheduler.schedule(50) { onResult(result) } } },
+                        { _, _, reported -> suspects += reported.flatMap { it.parts } },
+                    )
+                directory.put(SERVER, 1)
+                val survived = ArrayList<String>()
+                for (ended in case.ended) {
+                    val attempt = UnprovenAttempt(SERVER, setOf(PromptPartId(ended.name)), sentAtMs = 50)
+                    scheduler.schedule(50) { detector.recordStart(attempt) }
+                    scheduler.schedule(ended.endsAtMs) { detector.recordEndWithConnection(attempt) { survived += ended.name } }
+                }
+                scheduler.advance(END_MS)
+                assertEquals(case.survived, survived)
+                assertEquals(case.suspects.map(::PromptPartId), suspects)
+                assertEquals(emptyList(), results.toList(), "probes that were not needed")
+            }
         }
-        scheduler.advance(END_MS)
-        assertEquals(listOf("sound"), survived)
-        assertEquals(listOf(listOf(setOf(PromptPartId("fatal")))), crashes.toList())
-    }
 
     /** Returns the times of the reported crashes and the parts of their suspects. */
     private fun crashesOf(case: Case): List<Pair<Long, List<Set<PromptPartId>>>> {
