Let an instance without others hold no requests back after a pause

Cause: a pause began the wait for evidence even where nobody could send any, so requests waited for the full second. Ruled out: the same at the start, which asks whether there are others. Change: the wait after a pause begins only where the start began one.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUp.kt
@@ -20,17 +20,20 @@
 ) {
     private val waiting = ArrayList<() -> Unit>()
     private var endsAtMs = Long.MIN_VALUE
-    private var lastAliveAtMs = clock.nowMs()
+
+    /** When this process was last known to run, or null if there are no others to learn from. */
+    private var lastAliveAtMs: Long? = null
 
     /** Whether this process has the evidence of the others, or has waited for it long enough. */
     var isComplete = true
         private set
 
-    /** Starts to catch up. */
+    /** Starts to catch up, now and after each pause. An instance without others need not. */
     fun start() {
+        val nowMs = clock.nowMs()
         isComplete = false
-        lastAliveAtMs = clock.nowMs()
-        endsAtMs = lastAliveAtMs + LIMIT_MS
+        lastAliveAtMs = nowMs
+        endsAtMs = nowMs + LIMIT_MS
         askUntil(endsAtMs)
     }
 
@@ -47,8 +50,9 @@
 
     /** Records that this process is running; starts to catch up if it was paused. Must be called about every half second. */
     fun recordAlive() {
+        val previousMs = lastAliveAtMs ?: return
         val nowMs = clock.nowMs()
-        if (nowMs - lastAliveAtMs > PAUSE_MS) start()
+        if (nowMs - previousMs > PAUSE_MS) start()
         lastAliveAtMs = nowMs
     }
 
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUpTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/crash/EvidenceCatchUpTest.kt
@@ -21,6 +21,7 @@
     private val cases =
         listOf(
             Case("no start, no pause", null, null, NO_PAUSE, requestAtMs = 700, expectedSendAtMs = 700),
+            Case("a pause of an instance without others", null, null, 2_000L..5_000L, requestAtMs = 5_000, expectedSendAtMs = 5_000),
             Case("a start with a reply", 0, 120, NO_PAUSE, requestAtMs = 30, expectedSendAtMs = 120),
             Case("a request after the reply", 0, 120, NO_PAUSE, requestAtMs = 130, expectedSendAtMs = 130),
             Case("a start without a reply", 0, null, NO_PAUSE, requestAtMs = 30, expectedSendAtMs = 1_000),
