Decode the head of a request early only for bodies in parts

Cause: to bound the time of a body, the head of each request was decoded when it arrived, and once more when it was served. Ruled out: nothing. Change: it is decoded early only when a body arrives in more than one part. Without any part, the limit of the idle time holds as before. Measured: SlowExchangeTest (13) and GatewayTest (41) pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -49,8 +49,8 @@
     private var isReadingHead = false
     private var headReceivedAtMs = 0L
 
-    /** When the caller gives up the request whose body is being read. */
-    private var bodyEndsAtMs = 0L
+    /** When the caller gives up the request whose body is being read, or null as long as that is not needed. */
+    private var bodyEndsAtMs: Long? = null
     private var isClosing = false
 
     /** Whether a request is being read or served. */
@@ -118,8 +118,8 @@
         head = request
         body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS)
         headReceivedAtMs = clock.nowMs()
-        bodyEndsAtMs = headReceivedAtMs + minOf(handler.timeoutMs(request) ?: MAX_BODY_TIME_MS, MAX_BODY_TIME_MS)
-        awaitBody()
+        bodyEndsAtMs = null
+        restartTimer(limits().idleTimeoutMs)
         if (HttpUtil.is100ContinueExpected(request)) {
             context?.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
         }
@@ -135,12 +135,16 @@
         when {
             body.readableBytes() > limits().maxBodyBytes -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             content is LastHttpContent -> serve()
-            else -> awaitBody()
+            else -> awaitBody(checkNotNull(head))
         }
     }
 
     /** A body that arrives byte by byte must not hold the connection for longer than its caller waits. */
-    private fun awaitBody() = restartTimer(minOf(limits().idleTimeoutMs, bodyEndsAtMs - clock.nowMs()))
+    private fun awaitBody(head: HttpRequest) {
+        val endsAtMs = bodyEndsAtMs ?: (headReceivedAtMs + minOf(handler.timeoutMs(head) ?: MAX_BODY_TIME_MS, MAX_BODY_TIME_MS))
+        bodyEndsAtMs = endsAtMs
+        restartTimer(minOf(limits().idleTimeoutMs, endsAtMs - clock.nowMs()))
+    }
 
     private fun serve() {
         val request = CallerRequest(checkNotNull(head), checkNotNull(body), headReceivedAtMs)
