Exchange datagrams with other instances in one place

Cause: gossip and the evidence on crashes bound, wrote, read and logged datagrams with two copies of the same code. Ruled out: one port for both, which would change what instances say to each other. Change: PeerDatagrams serves both. The log lines stay.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
@@ -10,16 +10,7 @@
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
-import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.DatagramPacket
-import io.netty.channel.socket.nio.NioDatagramChannel
-import java.net.InetSocketAddress
 import kotlin.random.Random
 
 /**
@@ -33,16 +24,16 @@
  * @param localAddress the address of this instance; all instances use the same port
  */
 internal class EvidenceExchange(
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val localAddress: Address,
     private val membership: Membership,
     private val quarantine: CrashQuarantine,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
-    private val log: DecisionLog,
+    log: DecisionLog,
     private val random: Random,
 ) : EvidencePublisher {
-    private var channel: Channel? = null
+    private val datagrams = PeerDatagrams(loop, localAddress, "evidence", log, ::receive)
 
     /** Holds requests back until this instance has received the evidence of another one. */
     val catchUp =
@@ -50,14 +41,7 @@
 
     /** Binds the port and starts the rounds. */
     fun start() {
-        channel =
-            Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel::class.java)
-                .handler(DatagramHandler())
-                .bind(localAddress.host, localAddress.port)
-                .sync()
-                .channel()
+        datagrams.start()
         if (membership.hasOtherSeeds) catchUp.start()
         scheduler.scheduleRepeatedly(ROUND_INTERVAL_MS, ::runRound)
     }
@@ -80,16 +64,19 @@
         hosts: List<String>,
         message: EvidenceMessage,
     ) {
-        if (hosts.isEmpty()) return
-        val datagrams = EvidenceCodec.encode(message, clock.nowMs())
-        for (host in hosts) {
-            val receiver = InetSocketAddress(host, localAddress.port)
-            datagrams.forEach { channel?.write(DatagramPacket(Unpooled.wrappedBuffer(it), receiver)) }
-        }
-        channel?.flush()
+        if (hosts.isNotEmpty()) datagrams.send(hosts, EvidenceCodec.encode(message, clock.nowMs()))
     }
 
     private fun receive(
+        from: String,
+        bytes: ByteArray,
+    ): Boolean {
+        val message = EvidenceCodec.decodeOrNull(bytes, clock.nowMs()) ?: return false
+        handle(from, message)
+        return true
+    }
+
+    private fun handle(
         from: String,
         message: EvidenceMessage,
     ) = when (message) {
@@ -116,27 +103,6 @@
         if (digest != quarantine.digest) send(listOf(host), EvidenceMessage.Evidence(quarantine.allEvidence()))
     }
 
-    private inner class DatagramHandler : SimpleChannelInboundHandler<DatagramPacket>() {
-        override fun channelRead0(
-            ctx: ChannelHandlerContext,
-            msg: DatagramPacket,
-        ) {
-            val message = EvidenceCodec.decodeOrNull(ByteBufUtil.getBytes(msg.content()), clock.nowMs())
-            if (message == null) {
-                log.line("evidence.unreadable", "from" to msg.sender())
-            } else {
-                receive(msg.sender().address.hostAddress, message)
-            }
-        }
-
-        override fun exceptionCaught(
-            ctx: ChannelHandlerContext,
-            cause: Throwable,
-        ) {
-            log.failure("evidence", cause)
-        }
-    }
-
     private companion object {
         /** With two instances asked in each round, a lost datagram is made up for within about a second. */
         const val ROUND_INTERVAL_MS = 500L
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
@@ -10,16 +10,7 @@
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
-import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.DatagramPacket
-import io.netty.channel.socket.nio.NioDatagramChannel
-import java.net.InetSocketAddress
 import kotlin.random.Random
 
 /**
@@ -30,7 +21,7 @@
  * @param incarnation a number that increases with each start of the process
  */
 class Membership(
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
     private val localAddress: Address,
@@ -42,7 +33,7 @@
     private val timing = GossipTiming()
     private val gossip = Gossip(localAddress.host, incarnation, seeds, timing, random)
     private val listeners = ArrayList<() -> Unit>()
-    private var channel: Channel? = null
+    private val datagrams = PeerDatagrams(loop, localAddress, "gossip", log) { _, bytes -> receive(bytes) }
 
     /** The live members, including this instance. */
     var liveMembers: List<MemberDigest> = gossip.liveMembers(clock.nowMs())
@@ -79,14 +70,7 @@
 
     /** Binds the UDP port and starts the periodic gossip rounds. */
     fun start() {
-        channel =
-            Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel::class.java)
-                .handler(DatagramHandler())
-                .bind(localAddress.host, localAddress.port)
-                .sync()
-                .channel()
+        datagrams.start()
         scheduler.scheduleRepeatedly(timing.intervalMs, ::runRound)
     }
 
@@ -114,9 +98,7 @@
         hosts: List<String>,
         message: GossipMessage,
     ) {
-        val bytes = GossipCodec.encode(message)
-        for (host in hosts) channel?.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(host, localAddress.port)))
-        channel?.flush()
+        datagrams.send(hosts, listOf(GossipCodec.encode(message)))
     }
 
     private fun refresh(nowMs: Long) {
@@ -135,28 +117,13 @@
         listeners.forEach { it() }
     }
 
-    private inner class DatagramHandler : SimpleChannelInboundHandler<DatagramPacket>() {
-        override fun channelRead0(
-            ctx: ChannelHandlerContext,
-            msg: DatagramPacket,
-        ) {
-            val message = GossipCodec.decodeOrNull(ByteBufUtil.getBytes(msg.content()))
-            if (message == null) {
-                log.line("gossip.unreadable", "from" to msg.sender())
-                return
-            }
-            val nowMs = clock.nowMs()
-            val received = gossip.receive(message, nowMs)
-            received.reply?.let { send(listOf(it.host), it.message) }
-            if (received.isMembershipChanged) refresh(nowMs)
-        }
-
-        override fun exceptionCaught(
-            ctx: ChannelHandlerContext,
-            cause: Throwable,
-        ) {
-            log.failure("gossip", cause)
-        }
+    private fun receive(bytes: ByteArray): Boolean {
+        val message = GossipCodec.decodeOrNull(bytes) ?: return false
+        val nowMs = clock.nowMs()
+        val received = gossip.receive(message, nowMs)
+        received.reply?.let { send(listOf(it.host), it.message) }
+        if (received.isMembershipChanged) refresh(nowMs)
+        return true
     }
 
     private companion object {
