Decide on a request when it is written, and let no error continue a response

The attempt was decided on and its time computed before a connection was found; on a starved machine the event loop came to the write long after the deadline, and before the disconnect that had already arrived. The request is now created when it is written, against the deadline and the caller's connection, in a task after the events that have arrived; callers' sockets are read until they are empty. - A second copy of a refusal on a kept connection was taken for the answer to the next request: "not run" for a request that ran. Refusals of full servers carry no request id. A connection is kept only after an answer that names its request. - After a stream had begun and broken off, an error of the next server was relayed into it, or completed it; so did an empty answer without a length. A large response was continued by that of a second attempt. A stream whose events have no ids was continued from its beginning. Errors with blank lines were relayed event by event and then cut. - A request that one server may have run was reported as not run after the refusals of others.

Ruled out: an answer whose head is cut at any byte is no answer (test, green before).

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -234,6 +234,8 @@
         private var onDrainedAction: (() -> Unit)? = null
         private var isDisconnected = false
 
+        override val isConnected: Boolean get() = !isDone && context?.channel()?.isActive == true
+
         override val isCongested: Boolean get() = context?.channel()?.isWritable == false
 
         override fun onDrained(action: () -> Unit) {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerRequest.kt
@@ -51,6 +51,9 @@
     /** Closes the connection, so that the caller can't take the response for complete. */
     fun abort()
 
+    /** Whether the caller is connected and waits for the response. */
+    val isConnected: Boolean
+
     /** Whether the caller reads more slowly than the response is written, so that writing should pause. */
     val isCongested: Boolean
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
@@ -5,6 +5,7 @@
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -72,7 +73,11 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
-                .childHandler(
+                // Reads until the socket is empty, so that a disconnect that has already arrived is seen before the request is sent.
+                .childOption(
+                    ChannelOption.RECVBUF_ALLOCATOR,
+                    AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS),
+                ).childHandler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(child: Channel) = accept(child)
                     },
@@ -115,6 +120,9 @@
         const val BACKLOG = 1_024
         const val MAX_CHUNK_BYTES = 16 * 1024
 
+        /** The number of reads after which other connections have their turn. */
+        const val MAX_READS = 16
+
         /** Used until the first configuration, while all requests are refused. */
         val DEFAULT_LIMITS =
             CallerLimits(maxHeaderBytes = 16 * 1024, maxBodyBytes = 1 shl 20, headerTimeoutMs = 5_000, idleTimeoutMs = 10_000)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.gateway.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
 /** The reason for which an exchange with a server ended without a complete response. */
@@ -16,6 +17,9 @@
     /** The maximum number of connections to the server is open, and none can be reused. */
     NO_CONNECTION_FREE(isUnsent = true),
 
+    /** The request expired before it was written. */
+    EXPIRED(isUnsent = true),
+
     /** The connection was closed before the head of the response. */
     CLOSED_BEFORE_HEAD(isConnectionLoss = true),
 
@@ -32,6 +36,23 @@
     TIMED_OUT,
 }
 
+/** The request of an exchange. */
+sealed interface OutgoingRequest {
+    /** A request that is sent whenever a connection is available. */
+    class Ready(
+        val request: FullHttpRequest,
+    ) : OutgoingRequest
+
+    /**
+     * A request that expires.
+     *
+     * @property create returns the request, or null if it has expired; called at most once, immediately before the request is written
+     */
+    class Deferred(
+        val create: () -> FullHttpRequest?,
+    ) : OutgoingRequest
+}
+
 /** Receives the response of one exchange. The last call is either [onEnd] or [onFailure], unless the exchange is cancelled. */
 interface ExchangeListener {
     /** Returns whether [response] belongs to this request; a late response to an earlier request is skipped. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/PendingExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/PendingExchange.kt
@@ -4,7 +4,7 @@
 
 /** Represents an exchange from its creation, before it has a connection, until its listener has been notified of its end. */
 internal class PendingExchange(
-    private var request: FullHttpRequest?,
+    private var request: OutgoingRequest?,
     val listener: ExchangeListener,
 ) : Exchange {
     private var connection: ServerConnection? = null
@@ -13,10 +13,20 @@
     var isDone = false
         private set
 
-    /** Returns the request and assigns the exchange to [receiver], which becomes responsible for releasing the request. */
-    fun takeRequest(receiver: ServerConnection): FullHttpRequest {
-        connection = receiver
-        return checkNotNull(request) { "the request of this exchange was already taken" }.also { request = null }
+    /**
+     * Returns the request to write now and assigns the exchange to [receiver], which becomes responsible for releasing the request, or
+     * returns null if the request has expired.
+     */
+    fun takeRequest(receiver: ServerConnection): FullHttpRequest? {
+        val taken = checkNotNull(request) { "the request of this exchange was already taken" }
+        request = null
+        val created =
+            when (taken) {
+                is OutgoingRequest.Ready -> taken.request
+                is OutgoingRequest.Deferred -> taken.create()
+            }
+        if (created != null) connection = receiver
+        return created
     }
 
     fun end() {
@@ -38,7 +48,7 @@
     private fun finish(): Boolean {
         if (isDone) return false
         isDone = true
-        request?.release()
+        (request as? OutgoingRequest.Ready)?.request?.release()
         request = null
         return true
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -49,14 +49,16 @@
         context = ctx
     }
 
-    /** Starts [next] on this connection, which must be idle. */
-    fun start(next: PendingExchange) {
+    /** Starts [next] on this connection, which must be idle; returns false if its request has expired. */
+    fun start(next: PendingExchange): Boolean {
         check(exchange == null) { "the connection already carries an exchange" }
         val ctx = checkNotNull(context) { "the connection has no channel" }
+        val request = next.takeRequest(this) ?: return false
         exchange = next
         head = null
         ctx.channel().config().isAutoRead = true
-        requestWrite = ctx.writeAndFlush(next.takeRequest(this))
+        requestWrite = ctx.writeAndFlush(request)
+        return true
     }
 
     /** Marks the connection as idle and usable for the next [idleTimeoutMs] milliseconds. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -76,24 +76,49 @@
         limits = next
     }
 
+    /** Sends [request] and returns the exchange; takes ownership of [request]. */
+    fun send(
+        request: FullHttpRequest,
+        listener: ExchangeListener,
+    ): Exchange = send(OutgoingRequest.Ready(request), listener)
+
     /**
-     * Sends [request] and returns the exchange; takes ownership of [request].
+     * Sends [request] and returns the exchange.
+     *
+     * The request is written in a later task of the event loop, so that events that have already arrived can still cancel it: on a busy
+     * machine, its caller may have left long before.
      *
      * @param maxIdleMs the maximum time in milliseconds that a connection may have been idle to be reused
      */
     fun send(
-        request: FullHttpRequest,
+        request: OutgoingRequest,
         listener: ExchangeListener,
         maxIdleMs: Long = Long.MAX_VALUE,
     ): Exchange {
         val exchange = PendingExchange(request, listener)
+        loop.execute { if (!exchange.isDone) findConnection(exchange, maxIdleMs) }
+        return exchange
+    }
+
+    private fun findConnection(
+        exchange: PendingExchange,
+        maxIdleMs: Long,
+    ) {
         val idleConnection = takeIdle(maxIdleMs)
         when {
-            idleConnection != null -> idleConnection.start(exchange)
-            openCount >= limits.maxConnections -> loop.execute { exchange.fail(ExchangeFailure.NO_CONNECTION_FREE) }
+            idleConnection != null -> start(exchange, idleConnection)
+            openCount >= limits.maxConnections -> exchange.fail(ExchangeFailure.NO_CONNECTION_FREE)
             else -> connect(exchange)
         }
-        return exchange
+    }
+
+    private fun start(
+        exchange: PendingExchange,
+        connection: ServerConnection,
+    ) {
+        if (!exchange.isDone && connection.start(exchange)) return
+        release(connection, limits.defaultIdleTimeoutMs)
+        exchange.fail(ExchangeFailure.EXPIRED)
     }
 
     /** Closes idle connections that the server may soon close. */
@@ -163,10 +188,10 @@
         connection: ServerConnection,
         exchange: PendingExchange,
     ) {
-        when {
-            !future.isSuccess -> exchange.fail(ExchangeFailure.NOT_CONNECTED)
-            exchange.isDone -> release(connection, limits.defaultIdleTimeoutMs)
-            else -> connection.start(exchange)
+        if (future.isSuccess) {
+            loop.execute { start(exchange, connection) }
+        } else {
+            exchange.fail(ExchangeFailure.NOT_CONNECTED)
         }
     }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -9,6 +9,7 @@
 import io.monsoonpath.gateway.http.Exchange
 import io.monsoonpath.gateway.http.ExchangeFailure
 import io.monsoonpath.gateway.http.ExchangeListener
+import io.monsoonpath.gateway.http.OutgoingRequest
 import io.monsoonpath.gateway.http.ResponseHead
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.netty.buffer.ByteBuf
@@ -85,6 +86,13 @@
     /** Whether the length of the response is known, so that its end cannot be that of a server that crashes. */
     private var isFramed = false
     private var isFinished = false
+
+    /** Whether the response of an earlier attempt was relayed in part, so that an error must not follow it. */
+    private var isContinuation = false
+
+    /** Whether the request was written to a connection. */
+    var isSent = false
+        private set
     private var hasRecordedResponse = false
     private var headAtMs: Long? = null
     private var firstContentAtMs: Long? = null
@@ -92,7 +100,6 @@
     /** Sends the request; [number] is the number of this attempt, from 1. */
     fun start(number: Int) {
         services.loads.recordStart(selected.load, promptTokens)
-        val remainingMs = context.deadlineAtMs - startedAtMs
         services.log.line(
             "attempt.sent",
             "request" to context.head.id,
@@ -100,21 +107,27 @@
             "backend" to server.id,
             "reason" to selected.reason,
             "inFlight" to selected.load.inFlight,
-            "remainingMs" to remainingMs,
+            "remainingMs" to remainingMs(),
             "resumeAfter" to resumeAfter,
         )
         unproven?.let(services.crashes.detector::recordStart)
         val maxIdleMs = if (context.route.kind.isIdempotent) Long.MAX_VALUE else NON_IDEMPOTENT_MAX_IDLE_MS
-        exchange = services.connectionPools.poolFor(server).send(createRequest(remainingMs), this, maxIdleMs)
+        exchange = services.connectionPools.poolFor(server).send(OutgoingRequest.Deferred(::createRequest), this, maxIdleMs)
         if (context.route.kind == RouteKind.Idempotent && number < context.route.maxAttempts) {
-            services.scheduler.schedule(attemptTimeoutMs(remainingMs), ::handleTimeout)
+            services.scheduler.schedule(attemptTimeoutMs(remainingMs()), ::handleTimeout)
         }
     }
 
     /** Cancels the attempt; no result is reported. */
     fun cancel() = end(AttemptOutcome.NEUTRAL, "cancelled") { exchange?.cancel() }
 
-    private fun createRequest(remainingMs: Long): DefaultFullHttpRequest {
+    private fun remainingMs() = context.deadlineAtMs - services.clock.nowMs()
+
+    /** Returns the request with the time that is left when it is written, or null if no time is left or the caller has left. */
+    private fun createRequest(): DefaultFullHttpRequest? {
+        val remainingMs = remainingMs()
+        if (remainingMs <= 0 || !writer.isConnected) return null
+        isSent = true
         val request = context.request
         val call = CallHead(server, remainingMs, context.workspace?.id, context.rank, handles, resumeAfter)
         val headers = services.codec.encode(request.head.headers(), call)
@@ -160,6 +173,7 @@
         head = decoded
         isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
         headAtMs = services.clock.nowMs()
+        isContinuation = relay.hasStarted
         relay.head(response)
         if (!canRelay(response, decoded)) {
             exchange?.cancel()
@@ -173,7 +187,7 @@
     ): Boolean = !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING) && (head.isSigned || head.status !in SUCCESS_STATUS)
 
     override fun onContent(content: ByteBuf) {
-        if (isFinished || head?.isNotRun == true) return
+        if (isFinished || head?.isNotRun == true || isErrorAfterStart()) return
         if (!hasRecordedResponse) handleFirstContent()
         if (services.clock.nowMs() - checkNotNull(firstContentAtMs) >= PROOF_MS) recordProof()
         if (!relay.content(content)) {
@@ -184,6 +198,12 @@
         }
     }
 
+    /** Whether this response is an error, of which nothing may follow the part of a response that the caller has received. */
+    private fun isErrorAfterStart() = isContinuation && head?.status !in SUCCESS_STATUS
+
+    /** A response that does not name its request could not be told from a later copy of it, so its connection is not used again. */
+    override fun isReusable(): Boolean = head?.requestId == context.head.id
+
     private fun awaitDrainIfCongested(): Boolean {
         if (!writer.isCongested) return false
         writer.onDrained { exchange?.setReading(true) }
@@ -229,7 +249,8 @@
                     AttemptOutcome.FAILED,
                     "status ${head.status}",
                 ) { onResult(AttemptResult.MayHaveRun(relay, canRelayFailure = !relay.hasStarted)) }
-            head.status in SUCCESS_STATUS && !relay.canBeComplete -> endLost("the answer ended early")
+            isErrorAfterStart() -> endLost("status ${head.status} after the start of the response")
+            head.status in SUCCESS_STATUS && !relay.canBeComplete(isFramed) -> endLost("the answer ended early")
             else ->
                 end(AttemptOutcome.ANSWERED, "status ${head.status}") {
                     relay.end()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -34,9 +34,11 @@
     private var attempts = 0
     private var notRunAttempts = 0
     private var stageAttempts = 0
-    private var mayHaveRun = false
     private var firstByteMs: Long? = null
     private var sentAtMs = Long.MIN_VALUE
+
+    /** Whether a backend server may have run the request, or may still run it; an attempt that was not written yet does not count. */
+    private val mayHaveRun: Boolean get() = attempts > (if (attempt?.isSent == false) 1 else 0)
     private val hasSharedParts = context.head.sharedPartIds.isNotEmpty()
     private val quarantineListener = ::handleQuarantineStart
     private var isFinished = false
@@ -87,7 +89,7 @@
 
     private fun refuse(quarantine: PromptQuarantine) {
         services.log.line("request.quarantined", "request" to id, "parts" to quarantine.text(), "crashes" to quarantine.crashCount)
-        refuse(if (mayHaveRun) Refusal.BACKEND_FAILED else Refusal.QUARANTINED, (quarantine.endsAtMs - nowMs()).coerceAtLeast(0))
+        refuse(Refusal.QUARANTINED, (quarantine.endsAtMs - nowMs()).coerceAtLeast(0))
     }
 
     /** Ends the request if a new quarantine matches it, before it crashes the backend server at which it may be waiting. */
@@ -106,7 +108,7 @@
 
     override fun onCallerDisconnected() {
         if (isFinished) return
-        if (route.kind == RouteKind.NonIdempotent && attempt != null) {
+        if (route.kind == RouteKind.NonIdempotent && attempt?.isSent == true) {
             // The attempt continues: cancelling it would leave unknown whether the request has run.
             finish("caller-left", cancelAttempt = false)
         } else {
@@ -117,7 +119,7 @@
     override fun onShutdown(isEnding: Boolean) {
         when {
             isFinished -> Unit
-            isEnding -> refuse(if (mayHaveRun) Refusal.BACKEND_FAILED else Refusal.SHUTTING_DOWN)
+            isEnding -> refuse(Refusal.SHUTTING_DOWN)
             attempt == null -> isTooLongForShutdown(CALL_KIND, CALL_DEVIATIONS)
         }
     }
@@ -188,10 +190,12 @@
 
     private fun makeAttempt() {
         if (isFinished || isQuarantined() || isTooLongForShutdown(CALL_KIND, CALL_DEVIATIONS)) return
+        // The timer of the deadline may be late on a busy machine.
+        if (nowMs() >= context.deadlineAtMs) return handleDeadline()
         val pool = context.table.poolOf(context.pool)
         val selected = pool?.let { services.selector.select(it, context.head.promptParts, triedBackends, nowMs()) }
         if (selected == null) {
-            refuse(if (mayHaveRun) Refusal.BACKEND_FAILED else Refusal.NO_BACKEND)
+            refuse(Refusal.NO_BACKEND)
             return
         }
         triedBackends += selected.server.id
@@ -199,7 +203,6 @@
         services.crashes.quarantine.recordSend(context.head.sharedPartIds)
         if (attempts == 0 && notRunAttempts == 0) services.retryBudgets.of(context.pool).recordFirstAttempt()
         attempts++
-        mayHaveRun = true
         attempt =
             Attempt(
                 context,
@@ -244,7 +247,6 @@
     private fun handleNotRun(result: AttemptResult.NotRun) {
         attempts--
         notRunAttempts++
-        mayHaveRun = attempts > 0
         if (result.isInputGone) {
             if (stageAttempts >= MAX_STAGE_ATTEMPTS) return refuse(Refusal.STAGES_FAILED)
             triedBackends.clear()
@@ -257,7 +259,11 @@
     }
 
     private fun handleMayHaveRun(result: AttemptResult.MayHaveRun) {
-        val isRetryAllowed = route.kind.isIdempotent && attempts < route.maxAttempts && nowMs() < context.deadlineAtMs - MIN_REMAINING_MS
+        val isRetryAllowed =
+            route.kind.isIdempotent &&
+                relay.canContinue &&
+                attempts < route.maxAttempts &&
+                nowMs() < context.deadlineAtMs - MIN_REMAINING_MS
         if (isRetryAllowed && services.retryBudgets.of(context.pool).tryAcquire()) {
             result.discard()
             if (relay.hasStarted && route.stages.isNotEmpty()) stageRun = null
@@ -273,11 +279,13 @@
         refuse(if (mayHaveRun) Refusal.BACKEND_TIMED_OUT else Refusal.OUT_OF_TIME)
     }
 
+    /** Ends the request with [reason], but never claims that it has not run if it may have run. */
     private fun refuse(
-        refusal: Refusal,
+        reason: Refusal,
         waitMs: Long = 0,
     ) {
         if (isFinished) return
+        val refusal = if (reason.isNotRun && mayHaveRun) Refusal.BACKEND_FAILED else reason
         if (relay.hasStarted) writer.abort() else writer.refuse(refusal, retryAfterMs(refusal, waitMs))
         finish(if (relay.hasStarted) "cut" else refusal.name)
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
@@ -8,14 +8,18 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 
 /** Relays the response of a backend server to the caller. */
 internal sealed interface ResponseRelay {
     /** Whether part of a response was written to the caller, so that no other response can replace it. */
     val hasStarted: Boolean
 
-    /** Whether the content received so far can be a complete response. */
-    val canBeComplete: Boolean
+    /** Whether the response of another attempt can replace or continue what was written to the caller. */
+    val canContinue: Boolean
+
+    /** Returns whether the content received so far can be a complete response; [isFramed] tells whether the response had a length. */
+    fun canBeComplete(isFramed: Boolean): Boolean
 
     /** Receives the head of a response. */
     fun head(response: HttpResponse)
@@ -40,9 +44,11 @@
 ) : ResponseRelay {
     private var response: HttpResponse? = null
     private var body = Unpooled.buffer()
-    override val canBeComplete = true
     override var hasStarted = false
         private set
+    override val canContinue: Boolean get() = !hasStarted
+
+    override fun canBeComplete(isFramed: Boolean) = true
 
     override fun head(response: HttpResponse) {
         this.response = response
@@ -86,7 +92,8 @@
  * Relays an event stream event by event.
  *
  * The head is sent with the first event, so that a backend server that fails earlier can be replaced. If another backend server continues
- * the stream, its head is ignored, and the stream continues with the event after the last one that the caller has received.
+ * the stream, its head is ignored, and the stream continues with the event after the last one that the caller has received. An error
+ * response is buffered, since it has no events.
  */
 internal class EventStreamRelay(
     private val writer: ResponseWriter,
@@ -94,22 +101,33 @@
 ) : ResponseRelay {
     private val splitter = EventSplitter()
     private var response: HttpResponse? = null
-
-    /** Whether an event was relayed and none is incomplete: a response without a length may end without an error at any byte. */
-    override val canBeComplete: Boolean get() = hasStarted && splitter.pendingBytes == 0
-    override var hasStarted = false
-        private set
+    private var error: BufferedRelay? = null
+    private var hasEventsOfResponse = false
+    private var hasEventsWithoutId = false
+    private var hasStartedStream = false
+    override val hasStarted: Boolean get() = hasStartedStream || error?.hasStarted == true
+    override val canContinue: Boolean get() = !hasStarted || (hasStartedStream && !hasEventsWithoutId)
 
     /** The ID of the last event that the caller has received, or null if there is none. */
     var lastEventId: Long? = lastEventId
         private set
 
+    /**
+     * Returns whether at least one event was relayed and none is incomplete: a response without a length may end without an error at any
+     * byte. A response that continues the stream may have no events if it has a length.
+     */
+    override fun canBeComplete(isFramed: Boolean) = hasStarted && (isFramed || hasEventsOfResponse) && splitter.pendingBytes == 0
+
     override fun head(response: HttpResponse) {
         splitter.clear()
-        if (!hasStarted) this.response = response
+        hasEventsOfResponse = false
+        if (hasStarted) return
+        this.response = response
+        error = if (response.status().codeClass() == HttpStatusClass.SUCCESS) null else BufferedRelay(writer).also { it.head(response) }
     }
 
     override fun content(bytes: ByteBuf): Boolean {
+        error?.let { return it.content(bytes) }
         for (event in splitter.add(bytes)) {
             val last = lastEventId
             if (event.id != null && last != null) {
@@ -117,23 +135,29 @@
                 if (event.id > last + 1) return false
             }
             lastEventId = event.id ?: last
+            if (event.id == null) hasEventsWithoutId = true
+            hasEventsOfResponse = true
             forward(event.bytes)
         }
         return !splitter.isOverflowing
     }
 
     override fun end() {
+        error?.let { return it.end() }
         forward(splitter.takeRemaining())
         writer.end()
     }
 
-    override fun discard() = splitter.clear()
+    override fun discard() {
+        splitter.clear()
+        error = null
+    }
 
     private fun forward(bytes: ByteArray) {
-        if (!hasStarted) {
+        if (!hasStartedStream) {
             val response = checkNotNull(response) { "the response has events before its head" }
             writer.writeHead(response.status(), endToEndHeaders(response.headers()))
-            hasStarted = true
+            hasStartedStream = true
         }
         if (bytes.isNotEmpty()) writer.writeContent(Unpooled.wrappedBuffer(bytes))
     }
