--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -95,7 +95,7 @@
         LocalPieceExecutor(configuration, directory, batchSender, clock, scheduler, membership::isOwnershipStable, log)
     private val transport = PeerTransport(loop, settings.peerAddress, log)
     private val pieceExecutor =
-        DistributedPieceExecutor(settings.peerAddress, transport, membership, localExecutor, Backlogs(clock), clock, log)
+        DistributedPieceExecutor(settings.peerAddress, transport, membership, localExecutor, Backlogs(clock), clock, scheduler, log)
     private val crashQuarantine =
         CrashQuarantine(settings.peerAddress.host, settings.incarnation, ::fleetView, clock, scheduler, log)
     private val crashDetector =
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.gateway.stage.Backlogs
@@ -27,6 +28,7 @@
     private val local: LocalPieceExecutor,
     private val backlogs: Backlogs,
     private val clock: ClockMs,
+    scheduler: Scheduler,
     private val log: DecisionLog,
 ) : PieceExecutor,
     PeerListener {
@@ -37,6 +39,10 @@
     )
 
     private val pending = HashMap<PieceId, PendingPiece>()
+    private val reportBuffer =
+        ReportBuffer<PeerConnection>(scheduler) { receiver, pool, reports ->
+            receiver.send(PeerMessage.ReportPieces(pool, local.backlogMs(PoolId(pool)), reports))
+        }
 
     /** The owners that were told to expect pieces, by request and pool. */
     private val expectingOwners = HashMap<RequestId, MutableMap<PoolId, String>>()
@@ -155,9 +161,7 @@
     ) {
         val nowMs = clock.nowMs()
         val pieces = message.pieces.map { pieceOf(it, PoolId(message.pool), nowMs) }
-        local.execute(pieces) { id, result ->
-            from.send(PeerMessage.ReportPieces(message.pool, local.backlogMs(PoolId(message.pool)), listOf(reportOf(id, result))))
-        }
+        local.execute(pieces) { id, result -> reportBuffer.add(from, message.pool, reportOf(id, result)) }
     }
 
     private fun handleReport(
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -53,6 +53,7 @@
             "workspace" to context.workspace?.id,
             "rank" to context.rank,
             "config" to context.table.revision.value,
+            "targetMs" to route.targetLatencyMs,
             "remainingMs" to context.deadlineAtMs - nowMs(),
             "parts" to
                 context.head.promptParts
