Watch the paths to batching instances, and eject servers that never answer

Cause: where packets pass one way only, a peer stays alive for gossip, which others forward, while its reports do not arrive: pieces waited at it until they expired (listed as suspected in the postmortem of the crashing prompt part). A backend server whose answers do not arrive had no latency and seemed the fastest; the deadline of its requests said nothing about it, so that it got all requests of its pool. Change: owners in use are probed each round; one without a reply for a second is passed over by this instance (PathMonitor). Three requests without a byte in their time eject a server.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
@@ -37,7 +37,10 @@
 data class GossipMessage(
     val members: List<MemberDigest>,
     val isProbe: Boolean = false,
-)
+) {
+    /** Whether this is the reply to a probe, which holds the sender's digest only. */
+    val isProbeReply: Boolean get() = !isProbe && members.size == 1
+}
 
 /**
  * The result of receiving a gossip message.
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -33,6 +33,7 @@
 import io.monsoonpath.gateway.stage.LocalPieceExecutor
 import io.monsoonpath.model.ClockMs
 import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.PoolId
 import io.monsoonpath.policy.batch.StandingQueueDetector
 import io.monsoonpath.policy.deadline.ShutdownAdmission
 import io.monsoonpath.policy.retry.RetryAfterPolicy
@@ -92,7 +93,7 @@
     val membership =
         Membership(loop, clock, scheduler, settings.peerAddress, settings.seeds, settings.incarnation, log, Random(settings.incarnation))
     private val localExecutor =
-        LocalPieceExecutor(configuration, directory, batchSender, clock, scheduler, membership::isOwnershipStable, log)
+        LocalPieceExecutor(configuration, directory, batchSender, clock, scheduler, ::isSoleBatcher, log)
     private val transport = PeerTransport(loop, settings.peerAddress, log)
     private val pieceExecutor =
         DistributedPieceExecutor(settings.peerAddress, transport, membership, localExecutor, Backlogs(clock), clock, scheduler, log)
@@ -199,6 +200,8 @@
     private fun fleetView(): FleetView? =
         if (membership.isJoined) FleetView(maxInstances(), settings.peerAddress.host, membership.liveMembers.map { it.host }) else null
 
+    private fun isSoleBatcher(pool: PoolId) = membership.isOwnershipStable && membership.isCommonOwner(pool.value)
+
     private fun connectionPoolLimits(server: BackendServer): ConnectionPoolLimits {
         val total = configuration.current?.poolOf(server.pool)?.maxConnections ?: DEFAULT_MAX_CONNECTIONS
         return ConnectionPoolLimits(
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendLoads.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendLoads.kt
@@ -23,6 +23,9 @@
     /** The backend server was unreachable, or no complete and valid answer arrived. */
     LOST,
 
+    /** Nothing had arrived when the time of the request was over: the backend server is slow, or its answers do not arrive. */
+    SILENT,
+
     /** The attempt was cancelled, for example because the caller left, which does not indicate the health of the backend server. */
     NEUTRAL,
 }
@@ -114,7 +117,7 @@
                 load.failureCount = 0
                 load.ejections = 0
             }
-            AttemptOutcome.FAILED -> recordFailure(server, load, 1)
+            AttemptOutcome.FAILED, AttemptOutcome.SILENT -> recordFailure(server, load, 1)
             AttemptOutcome.LOST -> recordFailure(server, load, FAILURES_TO_EJECT)
             AttemptOutcome.MISDIRECTED -> eject(server, load, MISDIRECTED_EJECTION_MS)
             AttemptOutcome.TURNED_AWAY, AttemptOutcome.NEUTRAL -> Unit
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -48,6 +48,7 @@
     private val expectingOwners = HashMap<RequestId, MutableMap<PoolId, String>>()
 
     init {
+        membership.hostsInUse = { pending.values.mapTo(HashSet()) { it.owner } }
         membership.onChange(::reassignAll)
         transport.addListener(this)
     }
@@ -195,13 +196,13 @@
     }
 
     /**
-     * Reassigns the pieces of owners that are no longer live. Their connections are closed explicitly, because a connection can stay
+     * Reassigns the pieces of owners that are no longer live, or that this instance does not reach both ways. Their connections are closed explicitly, because a connection can stay
      * open while its peer is dead or partitioned. An owner that is shutting down still executes its pieces: if they were also sent to
      * the next owner, both would read and release the same inputs.
      */
     private fun reassignAll() {
         val liveHosts = membership.liveMembers.mapTo(HashSet()) { it.host }
-        val orphaned = pending.values.filter { it.owner !in liveHosts }
+        val orphaned = pending.values.filter { it.owner !in liveHosts || it.owner in membership.unreachableHosts }
         orphaned.map { it.owner }.distinct().forEach(transport::disconnect)
         orphaned.forEach(::reassign)
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
@@ -5,6 +5,7 @@
 import io.monsoonpath.coordination.gossip.GossipMessage
 import io.monsoonpath.coordination.gossip.GossipTiming
 import io.monsoonpath.coordination.gossip.MemberDigest
+import io.monsoonpath.coordination.gossip.PathMonitor
 import io.monsoonpath.coordination.gossip.rendezvousOwner
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.directory.Address
@@ -32,8 +33,12 @@
 ) {
     private val timing = GossipTiming()
     private val gossip = Gossip(localAddress.host, incarnation, seeds, timing, random)
+    private val paths = PathMonitor()
     private val listeners = ArrayList<() -> Unit>()
-    private val datagrams = PeerDatagrams(loop, localAddress, "gossip", log) { _, bytes -> receive(bytes) }
+    private val datagrams = PeerDatagrams(loop, localAddress, "gossip", log) { from, bytes -> receive(from, bytes) }
+
+    /** Returns the hosts whose work this instance waits for, and whose paths are therefore watched. */
+    var hostsInUse: () -> Set<String> = { emptySet() }
 
     /** The live members, including this instance. */
     var liveMembers: List<MemberDigest> = gossip.liveMembers(clock.nowMs())
@@ -60,13 +65,21 @@
     /** The number of members that may be alive, including this instance: live ones and dead ones that are not removed yet. */
     val knownCount: Int get() = gossip.knownCount()
 
-    /** Registers [listener], which is called after each change of [eligibleHosts]. */
+    /** The hosts in use that do not reply to this instance, whether or not they are live for others. */
+    val unreachableHosts: Set<String> get() = paths.unreachableHosts
+
+    /** Registers [listener], which is called after each change of [eligibleHosts] or [unreachableHosts]. */
     fun onChange(listener: () -> Unit) {
         listeners += listener
     }
 
     /** Returns the host that owns [key]. Views differ temporarily, so two hosts may both consider themselves the owner for a while. */
-    fun ownerOf(key: String): String = rendezvousOwner(key, eligibleHosts) ?: localAddress.host
+    fun ownerOf(key: String): String = rendezvousOwner(key, reachableHosts) ?: localAddress.host
+
+    /** Whether [ownerOf] returns what it returns on instances that reach all others. */
+    fun isCommonOwner(key: String): Boolean = rendezvousOwner(key, eligibleHosts) == ownerOf(key)
+
+    private var reachableHosts = eligibleHosts
 
     /** Binds the UDP port and starts the periodic gossip rounds. */
     fun start() {
@@ -84,6 +97,7 @@
     fun rejoin() {
         joiningSinceMs = clock.nowMs()
         gossip.forgetAll()
+        paths.forgetAll()
     }
 
     private fun runRound() {
@@ -91,9 +105,23 @@
         val targets = gossip.startRound(nowMs)
         targets.takeIf { it.isNotEmpty() }?.let { send(it, gossip.roundMessage(nowMs)) }
         gossip.hostsToProbe(nowMs).takeIf { it.isNotEmpty() }?.let { send(it, gossip.probeMessage()) }
+        checkPaths(nowMs)
         refresh(nowMs)
     }
 
+    private fun checkPaths(nowMs: Long) {
+        val previous = paths.unreachableHosts
+        paths.startRound(hostsInUse(), nowMs).takeIf { it.isNotEmpty() }?.let { send(it, gossip.probeMessage()) }
+        if (paths.unreachableHosts == previous) return
+        log.line("paths.changed", "lost" to paths.unreachableHosts - previous, "restored" to previous - paths.unreachableHosts)
+        updateReachable()
+        listeners.forEach { it() }
+    }
+
+    private fun updateReachable() {
+        reachableHosts = eligibleHosts.filterNot { it in paths.unreachableHosts }
+    }
+
     private fun send(
         hosts: List<String>,
         message: GossipMessage,
@@ -108,6 +136,7 @@
         eligibleHosts = liveMembers.filterNot { it.isLeaving }.map { it.host }.ifEmpty { listOf(localAddress.host) }
         if (eligibleHosts == previousHosts) return
         eligibleHostsChangedAtMs = nowMs
+        updateReachable()
         log.line(
             "members.changed",
             "live" to liveMembers.size,
@@ -117,9 +146,13 @@
         listeners.forEach { it() }
     }
 
-    private fun receive(bytes: ByteArray): Boolean {
+    private fun receive(
+        from: String,
+        bytes: ByteArray,
+    ): Boolean {
         val message = GossipCodec.decodeOrNull(bytes) ?: return false
         val nowMs = clock.nowMs()
+        if (message.isProbeReply) paths.recordReply(from, nowMs)
         val received = gossip.receive(message, nowMs)
         received.reply?.let { send(listOf(it.host), it.message) }
         if (received.isMembershipChanged) refresh(nowMs)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -121,6 +121,16 @@
     /** Cancels the attempt; no result is reported. */
     fun cancel() = end(AttemptOutcome.NEUTRAL, "cancelled") { exchange?.cancel() }
 
+    /** Cancels the attempt because the time of the request is over; no result is reported. */
+    fun expire() =
+        if (isSent &&
+            head == null
+        ) {
+            end(AttemptOutcome.SILENT, "no answer in the time of the request") { exchange?.cancel() }
+        } else {
+            cancel()
+        }
+
     private fun remainingMs() = context.deadlineAtMs - services.clock.nowMs()
 
     /** Returns the request with the time that is left when it is written, or null if no time is left or the caller has left. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -277,7 +277,9 @@
 
     private fun handleDeadline() {
         if (isFinished) return
-        refuse(if (mayHaveRun) Refusal.BACKEND_TIMED_OUT else Refusal.OUT_OF_TIME)
+        val refusal = if (mayHaveRun) Refusal.BACKEND_TIMED_OUT else Refusal.OUT_OF_TIME
+        attempt?.expire()
+        refuse(refusal)
     }
 
     /** Ends the request with [reason], but never claims that it has not run if it may have run. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/LocalPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/LocalPieceExecutor.kt
@@ -11,7 +11,7 @@
 /**
  * Batches pieces on this instance, both its own and those that other instances forward to it.
  *
- * @param isSoleBatcher whether no other instance sends calls to the workers of the pools that this instance batches for
+ * @param isSoleBatcher returns whether no other instance sends calls to the workers of a pool that this instance batches for
  */
 class LocalPieceExecutor(
     private val configuration: ConfigurationHolder,
@@ -19,7 +19,7 @@
     private val sender: BatchSender,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
-    private val isSoleBatcher: () -> Boolean,
+    private val isSoleBatcher: (PoolId) -> Boolean,
     private val log: DecisionLog,
 ) : PieceExecutor {
     private val batchers = HashMap<PoolId, PoolBatcher>()
@@ -58,6 +58,15 @@
 
     private fun batcherOf(pool: PoolId) =
         batchers.getOrPut(pool) {
-            PoolBatcher(pool, { configuration.current?.poolOf(pool)?.batching }, directory, sender, clock, scheduler, isSoleBatcher, log)
+            PoolBatcher(
+                pool,
+                { configuration.current?.poolOf(pool)?.batching },
+                directory,
+                sender,
+                clock,
+                scheduler,
+                { isSoleBatcher(pool) },
+                log,
+            )
         }
 }
