Let large machines batch for pools, and report the start of a call when it is written

The start of a piece was reported before its call was written, and the origin released the inputs 60 ms later, while a busy machine with 0.36 of a core writes the call only then; a full call there reads 34 MB, not 16. Owners were picked among all machines, whatever their size. Change: the report is sent when the call is written; the time to read is worked out from the size of the inputs and the link of the pool; pools are owned by members with at least half of the capacity of the largest, which the digests of gossip carry. Ruled out: a worker that is busy at the time of a call (0 calls found a worker full), two instances that batch (one a pool in the logs).

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
@@ -14,6 +14,7 @@
  * @property isLeaving whether the instance is shutting down and must not own keys
  * @property documentRevisions the newest revision of each topic of shared documents that the member has seen, in an order that is
  * the same on all instances
+ * @property capacityMillicores the processor time that the member can use, in thousandths of a core; 0 if unknown
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -24,6 +25,7 @@
     val heartbeat: Long,
     val isLeaving: Boolean,
     val documentRevisions: List<Long> = emptyList(),
+    val capacityMillicores: Int = 0,
 )
 
 /**
@@ -96,6 +98,7 @@
     private val seeds: List<String>,
     private val timing: GossipTiming,
     private val random: Random,
+    capacityMillicores: Int = 0,
 ) {
     private class Entry(
         var digest: MemberDigest,
@@ -105,7 +108,7 @@
     private val others = LinkedHashMap<String, Entry>()
 
     /** The digest of this instance. */
-    var self = MemberDigest(host, incarnation, heartbeat = 0, isLeaving = false)
+    var self = MemberDigest(host, incarnation, heartbeat = 0, isLeaving = false, capacityMillicores = capacityMillicores)
         private set
 
     /** Updates the digest of this instance. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -48,6 +48,7 @@
  * instances use the same ports
  * @property seeds the hosts of a few instances, some of which may no longer exist
  * @property incarnation a number that increases with each start of the process
+ * @property capacityMillicores the processor time that this instance can use, in thousandths of a core; 0 if unknown
  * @property maxMembers the configured maximum number of instances that run at the same time
  * @property retryRatio the extra attempts allowed for each first attempt, over all instances
  * @property retryReserve the extra attempts that all instances together may make in addition
@@ -60,6 +61,7 @@
     val seeds: List<String>,
     val incarnation: Long,
     val failureDomain: FailureDomain,
+    val capacityMillicores: Int,
     val maxMembers: Int,
     val retryRatio: Double,
     val retryReserve: Int,
@@ -91,7 +93,17 @@
     private val coldStartLimiter = ColdStartLimiter(::fleetView)
     private val batchSender = HttpBatchSender(connectionPools, codecs.backend, directory, clock, scheduler)
     val membership =
-        Membership(loop, clock, scheduler, settings.peerAddress, settings.seeds, settings.incarnation, log, Random(settings.incarnation))
+        Membership(
+            loop,
+            clock,
+            scheduler,
+            settings.peerAddress,
+            settings.seeds,
+            settings.incarnation,
+            log,
+            Random(settings.incarnation),
+            settings.capacityMillicores,
+        )
     private val localExecutor =
         LocalPieceExecutor(configuration, directory, batchSender, clock, scheduler, ::isSoleBatcher, log)
     private val transport = PeerTransport(loop, settings.peerAddress, log)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/config/Pool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/config/Pool.kt
@@ -23,6 +23,7 @@
  * @property pieceMs the approximate duration that each piece adds to a call, in milliseconds
  * @property resultMemoryBytes the memory for results that are not yet released
  * @property resultTtlMs the time for which a result is stored after its call, in milliseconds
+ * @property linkBytesPerMs the rate at which a worker reads inputs, in bytes per millisecond
  */
 data class BatchLimits(
     val slots: Int,
@@ -32,6 +33,7 @@
     val pieceMs: Double,
     val resultMemoryBytes: Long,
     val resultTtlMs: Long,
+    val linkBytesPerMs: Long,
 )
 
 /**
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
@@ -3,7 +3,6 @@
 import io.monsoonpath.gateway.Scheduler
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
 /** The outcome of an exchange whose response is read as a whole. */
@@ -72,7 +71,7 @@
  * @param isReusable returns whether the connection can be used again after the given response
  */
 fun ServerConnectionPool.exchange(
-    request: FullHttpRequest,
+    request: OutgoingRequest,
     timeoutMs: Long,
     scheduler: Scheduler,
     isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
@@ -6,6 +6,7 @@
 import io.monsoonpath.coordination.gossip.GossipTiming
 import io.monsoonpath.coordination.gossip.MemberDigest
 import io.monsoonpath.coordination.gossip.PathMonitor
+import io.monsoonpath.coordination.gossip.ownerCandidates
 import io.monsoonpath.coordination.gossip.rendezvousOwner
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.directory.Address
@@ -20,6 +21,7 @@
  * @param localAddress the address of this instance; all instances use the same port
  * @param seeds the hosts through which this instance joins
  * @param incarnation a number that increases with each start of the process
+ * @param capacityMillicores the processor time that this instance can use, in thousandths of a core; 0 if unknown
  */
 class Membership(
     loop: EventLoop,
@@ -30,9 +32,10 @@
     incarnation: Long,
     private val log: DecisionLog,
     random: Random,
+    capacityMillicores: Int,
 ) {
     private val timing = GossipTiming()
-    private val gossip = Gossip(localAddress.host, incarnation, seeds, timing, random)
+    private val gossip = Gossip(localAddress.host, incarnation, seeds, timing, random, capacityMillicores)
     private val paths = PathMonitor()
     private val listeners = ArrayList<() -> Unit>()
     private val datagrams = PeerDatagrams(loop, localAddress, "gossip", log) { from, bytes -> receive(from, bytes) }
@@ -44,7 +47,7 @@
     var liveMembers: List<MemberDigest> = gossip.liveMembers(clock.nowMs())
         private set
 
-    /** The hosts of the live members that may own keys: all that are not shutting down, or this instance if there are none. */
+    /** The hosts of the live members that may own keys, see [ownerCandidates], or this instance if there are none. */
     var eligibleHosts: List<String> = listOf(localAddress.host)
         private set
 
@@ -133,13 +136,14 @@
         val previousHosts = eligibleHosts
         liveMembers = gossip.liveMembers(nowMs)
         // An instance that is shutting down completes its own requests, and sends their pieces to other owners if there are any.
-        eligibleHosts = liveMembers.filterNot { it.isLeaving }.map { it.host }.ifEmpty { listOf(localAddress.host) }
+        eligibleHosts = ownerCandidates(liveMembers).ifEmpty { listOf(localAddress.host) }
         if (eligibleHosts == previousHosts) return
         eligibleHostsChangedAtMs = nowMs
         updateReachable()
         log.line(
             "members.changed",
             "live" to liveMembers.size,
+            "owners" to eligibleHosts.size,
             "joined" to (eligibleHosts - previousHosts.toSet()),
             "gone" to (previousHosts - eligibleHosts.toSet()),
         )
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
@@ -7,6 +7,7 @@
 import io.monsoonpath.gateway.http.BackendConnectionPools
 import io.monsoonpath.gateway.http.ExchangeOutcome
 import io.monsoonpath.gateway.http.FullResponseListener
+import io.monsoonpath.gateway.http.OutgoingRequest
 import io.monsoonpath.gateway.http.exchange
 import io.monsoonpath.model.ClockMs
 import io.monsoonpath.model.LruMap
@@ -31,9 +32,14 @@
         worker: BackendServer,
         pieces: List<Piece>,
         timeoutMs: Long,
+        onSent: () -> Unit,
         done: (BatchOutcome) -> Unit,
     ) {
-        val call = codec.encodeBatch(worker, pieces, clock.nowMs())
+        val call =
+            OutgoingRequest.Deferred {
+                onSent()
+                codec.encodeBatch(worker, pieces, clock.nowMs())
+            }
         connectionPools.poolFor(worker).exchange(call, timeoutMs, scheduler, { isRecognizable(it, pieces.size) }) {
             done(read(it, pieces.size))
         }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
@@ -14,11 +14,15 @@
 
 /** Sends batch calls to workers of stage pools. */
 interface BatchSender {
-    /** Executes [pieces] on [worker] and passes the outcome to [done], with results in the order of [pieces]. */
+    /**
+     * Executes [pieces] on [worker]. Calls [onSent] when the call is written, and passes the outcome to [done], with results in the order
+     * of [pieces].
+     */
     fun execute(
         worker: BackendServer,
         pieces: List<Piece>,
         timeoutMs: Long,
+        onSent: () -> Unit,
         done: (BatchOutcome) -> Unit,
     )
 
@@ -144,15 +148,23 @@
             "ofOtherDomains" to batch.count { it.piece.domain != null && it.piece.domain != worker.failureDomain },
             "queued" to queue.size,
         )
-        // With calls from other instances, a worker may queue this call and read its inputs later.
-        if (isSoleBatcher()) batch.filter { it.piece.input is PieceInput.Results }.forEach { it.done(it.piece.id, PieceResult.Started) }
-        sender.execute(worker, batch.map { it.piece }, expectedMs * TIMEOUT_FACTOR + TIMEOUT_EXTRA_MS) { outcome ->
+        val timeoutMs = expectedMs * TIMEOUT_FACTOR + TIMEOUT_EXTRA_MS
+        sender.execute(worker, batch.map { it.piece }, timeoutMs, onSent = { reportStart(batch) }) { outcome ->
             load.recordEnd()
             handleOutcome(worker, load, batch, outcome, limits, (clock.nowMs() - nowMs).toDouble() / expectedMs)
             dispatch()
         }
     }
 
+    /**
+     * Reports that a worker begins to read the inputs of [batch]. Reported when the call is written: a busy instance may come to that later
+     * than the time after which the inputs are released.
+     */
+    private fun reportStart(batch: List<PendingPiece>) {
+        // With calls from other instances, a worker may queue this call and read its inputs later.
+        if (isSoleBatcher()) batch.filter { it.piece.input is PieceInput.Results }.forEach { it.done(it.piece.id, PieceResult.Started) }
+    }
+
     private fun handleOutcome(
         worker: BackendServer,
         load: WorkerLoad,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/StageRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/StageRun.kt
@@ -158,7 +158,14 @@
     private fun handleStarted(piece: PieceId) {
         if (isFinished || !notStarted[piece.stage].remove(piece.segment) || notStarted[piece.stage].isNotEmpty()) return
         val inputs = stages[piece.stage].after.filter { input -> successorsOf(input).all { notStarted[it].isEmpty() } }
-        scheduler.schedule(INPUT_READ_MS) { inputs.forEach(::release) }
+        scheduler.schedule(START_LATENCY_MS + READ_TIME_FACTOR * inputReadMs(piece.stage)) { inputs.forEach(::release) }
+    }
+
+    /** Returns the time in milliseconds in which a worker reads the inputs of a full batch of pieces like those of [stage]. */
+    private fun inputReadMs(stage: Int): Long {
+        val batching = poolOf(stages[stage].pool)?.batching ?: return 0
+        val inputBytes = stages[stage].after.sumOf { countOf(it) * stages[it].resultBytes }
+        return batching.maxPieces * inputBytes / batching.linkBytesPerMs
     }
 
     private fun handleCompleted(
@@ -204,8 +211,11 @@
         /** Below this size, waiting for a worker of the same failure domain costs more than the transfer. */
         const val LARGE_TRANSFER_BYTES = 100_000L
 
-        /** Reading the inputs of a full batch, about 16 MB, takes 13 ms at 10 Gbit/s; the rest allows for network latency. */
-        const val INPUT_READ_MS = 60L
+        /** Allows for the latency of the report and of the call, whose worker may be in another failure domain. */
+        const val START_LATENCY_MS = 50L
+
+        /** Results of one worker may be read by two others at the same time. */
+        const val READ_TIME_FACTOR = 2
     }
 }
 
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/stage/PoolBatcherTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/stage/PoolBatcherTest.kt
@@ -20,6 +20,7 @@
     private class Call(
         val worker: BackendServer,
         val pieces: List<Piece>,
+        val onSent: () -> Unit,
         val done: (BatchOutcome) -> Unit,
     ) {
         fun answer() = done(BatchOutcome.Answered(pieces.map { PieceResult.Completed("${worker.id}/${it.id.request}/${it.id.segment}") }))
@@ -34,9 +35,10 @@
             worker: BackendServer,
             pieces: List<Piece>,
             timeoutMs: Long,
+            onSent: () -> Unit,
             done: (BatchOutcome) -> Unit,
         ) {
-            calls += Call(worker, pieces, done)
+            calls += Call(worker, pieces, onSent, done)
         }
 
         override fun workerOf(handle: String): BackendServer? = directory[BackendId(handle.substringBefore('/'))]
@@ -62,6 +64,7 @@
             pieceMs = 10.0,
             resultMemoryBytes = 10_000,
             resultTtlMs = 4_000,
+            linkBytesPerMs = 1_250_000,
         )
     private val results = ArrayList<Pair<Int, PieceResult>>()
     private var isSoleBatcher = true
@@ -165,11 +168,15 @@
         worker("a")
         isSoleBatcher = false
         add(1, input = PieceInput.Results(listOf("h")))
+        sender.calls[0].onSent()
         assertTrue(results.isEmpty())
         sender.calls[0].answer()
         results.clear()
         isSoleBatcher = true
         add(1, "s", input = PieceInput.Results(listOf("h")))
+        // A busy instance may write the call much later, and the inputs are released soon after the report.
+        assertTrue(results.isEmpty())
+        sender.calls[1].onSent()
         assertEquals(listOf<Pair<Int, PieceResult>>(0 to PieceResult.Started), results)
     }
 
