Count unanswered probes, not time, before a path counts as lost

Cause: found by reading: on a starved machine the rounds are late by more than a second, as after the loss of the fleet, and an instance would have passed over owners whose replies were waiting in its socket. Change: four unanswered probes in a row, as many as before at the usual interval.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/PathMonitor.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/PathMonitor.kt
@@ -4,17 +4,16 @@
  * Finds out whether datagrams pass both ways between this instance and the peers whose work it waits for.
  *
  * A peer may be alive for all others while packets between it and this instance pass one way only, or not at all. Gossip does not show
- * that, since the peer's digests arrive through others. The peers in use are therefore probed, and one that has not replied for
- * [silenceMs] counts as unreachable until it replies.
- *
- * @param silenceMs the time in milliseconds, several intervals between probes, since a few datagrams are lost on a sound path as well
+ * that, since the peer's digests arrive through others. The peers in use are therefore probed in each round, and one that has left
+ * [maxUnanswered] probes in a row unanswered counts as unreachable until it replies. Probes are counted, not time: on a busy machine the
+ * rounds are late, and replies may be waiting.
  */
 class PathMonitor(
-    private val silenceMs: Long = DEFAULT_SILENCE_MS,
+    private val maxUnanswered: Int = DEFAULT_MAX_UNANSWERED,
 ) {
     private class Path(
-        var repliedAtMs: Long,
         var usedAtMs: Long,
+        var unansweredProbes: Int = 0,
     )
 
     private val paths = HashMap<String, Path>()
@@ -24,11 +23,8 @@
         private set
 
     /** Records a reply to a probe. */
-    fun recordReply(
-        host: String,
-        nowMs: Long,
-    ) {
-        paths[host]?.repliedAtMs = nowMs
+    fun recordReply(host: String) {
+        paths[host]?.unansweredProbes = 0
     }
 
     /**
@@ -39,21 +35,22 @@
         inUse: Set<String>,
         nowMs: Long,
     ): List<String> {
-        inUse.forEach { paths.getOrPut(it) { Path(repliedAtMs = nowMs, usedAtMs = nowMs) }.usedAtMs = nowMs }
+        inUse.forEach { paths.getOrPut(it) { Path(usedAtMs = nowMs) }.usedAtMs = nowMs }
         paths.values.removeIf { nowMs - it.usedAtMs > FORGET_AFTER_MS }
-        unreachableHosts = paths.filterValues { nowMs - it.repliedAtMs > silenceMs }.keys.toSet()
+        unreachableHosts = paths.filterValues { it.unansweredProbes >= maxUnanswered }.keys.toSet()
+        paths.values.forEach { it.unansweredProbes++ }
         return paths.keys.toList()
     }
 
-    /** Discards everything known, for use after a pause of the process, in which no reply could be received. */
+    /** Discards everything known, for use after a pause of the process. */
     fun forgetAll() {
         paths.clear()
         unreachableHosts = emptySet()
     }
 
     private companion object {
-        /** Four probes at the interval of gossip: on a path that loses one datagram in 20, one such silence in 10,000 is by chance. */
-        const val DEFAULT_SILENCE_MS = 1_000L
+        /** A second at the interval of gossip. On a path that loses one datagram in 20, one such silence in 10,000 is by chance. */
+        const val DEFAULT_MAX_UNANSWERED = 4
 
         /** Longer than the gaps between the requests of a small workspace, so that an unreachable peer is not tried again for each. */
         const val FORGET_AFTER_MS = 10_000L
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/Membership.kt
@@ -156,7 +156,7 @@
     ): Boolean {
         val message = GossipCodec.decodeOrNull(bytes) ?: return false
         val nowMs = clock.nowMs()
-        if (message.isProbeReply) paths.recordReply(from, nowMs)
+        if (message.isProbeReply) paths.recordReply(from)
         val received = gossip.receive(message, nowMs)
         received.reply?.let { send(listOf(it.host), it.message) }
         if (received.isMembershipChanged) refresh(nowMs)
