--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/log/WindowSummary.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/log/WindowSummary.kt
@@ -48,38 +48,38 @@
     val begun = inWindow.filter { it.event == "request.begun" || it.event == "request.refused" }
     if (begun.isEmpty()) return emptyList()
     val endById = lines.filter { it.event == "request.ended" }.associateBy { it.source to it.fields["request"] }
-    val fates = begun.map { Fate.of(it, endById[it.source to it.fields["request"]]) }
-    val rows = fates.groupBy { it.key }.values.sortedByDescending { it.size }
+    val requests = begun.map { SummarizedRequest.of(it, endById[it.source to it.fields["request"]]) }
+    val rows = requests.groupBy { it.key }.values.sortedByDescending { it.size }
     return listOf(HEADER) + rows.map { rowOf(it, begun.size) }
 }
 
 private const val HEADER = "requests   share  mean ms  attempts  route                workspace            outcome"
 
 private fun rowOf(
-    fates: List<Fate>,
+    requests: List<SummarizedRequest>,
     total: Int,
 ): String {
-    val key = fates.first().key
+    val key = requests.first().key
     return "%8d  %5.1f%%  %7.0f  %8.2f  %-20s %-20s %s".format(
-        fates.size,
-        fates.size * 100.0 / total,
-        fates.map { it.tookMs }.average(),
-        fates.map { it.attempts }.average(),
+        requests.size,
+        requests.size * 100.0 / total,
+        requests.map { it.tookMs }.average(),
+        requests.map { it.attempts }.average(),
         key.route,
         key.workspace,
         key.outcome,
     )
 }
 
-private data class FateKey(
+private data class RowKey(
     val route: String,
     val workspace: String,
     val outcome: String,
 )
 
-/** What happened to one request. */
-private class Fate(
-    val key: FateKey,
+/** A request as it is counted: the row to which it belongs, and its figures. */
+private class SummarizedRequest(
+    val key: RowKey,
     val tookMs: Long,
     val attempts: Int,
 ) {
@@ -87,10 +87,10 @@
         fun of(
             begin: LogLine,
             end: LogLine?,
-        ): Fate {
+        ): SummarizedRequest {
             val fields = begin.fields
-            val key = FateKey(fields["route"] ?: "-", fields["workspace"] ?: "-", outcomeOf(begin, end))
-            return Fate(key, end?.number("tookMs") ?: 0, end?.number("attempts")?.toInt() ?: 0)
+            val key = RowKey(fields["route"] ?: "-", fields["workspace"] ?: "-", outcomeOf(begin, end))
+            return SummarizedRequest(key, end?.number("tookMs") ?: 0, end?.number("attempts")?.toInt() ?: 0)
         }
 
         private fun outcomeOf(
