--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Ownership.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Ownership.kt
@@ -3,7 +3,7 @@
 /**
  * Returns the hosts of [members] that may own keys: those that are not leaving and have at least half of the capacity of the largest.
  *
- * An owner works for all instances. In a fleet of machines of very different size, a small one could not keep up, and all would wait for it.
+ * An owner works for all instances. In a fleet of machines of very different size, a small one could not keep up, and all would wait.
  */
 fun ownerCandidates(members: List<MemberDigest>): List<String> {
     val staying = members.filterNot { it.isLeaving }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -196,9 +196,9 @@
     }
 
     /**
-     * Reassigns the pieces of owners that are no longer live, or that this instance does not reach both ways. Their connections are closed explicitly, because a connection can stay
-     * open while its peer is dead or partitioned. An owner that is shutting down still executes its pieces: if they were also sent to
-     * the next owner, both would read and release the same inputs.
+     * Reassigns the pieces of owners that are no longer live, or that this instance does not reach both ways. Their connections are closed
+     * explicitly, because a connection can stay open while its peer is dead or partitioned. An owner that is shutting down still executes
+     * its pieces: if they were also sent to the next owner, both would read and release the same inputs.
      */
     private fun reassignAll() {
         val liveHosts = membership.liveMembers.mapTo(HashSet()) { it.host }
