Recognize a reset by the failed write of the request

Cause: the reset is reported by whichever call of the socket comes next. When that is the write of the request, Netty closes the channel without exceptionCaught, and the decoder ends a response without a length at every close. ServerConnection took this for its end.

Evidence: ServerConnectionPoolTest ends a connection in seven ways. Before the change two cases failed, "reset while the request was being written" and "closed with a part of the request unread" (expected CUT, was ended); a reset after the request was read was recognized. Ruled out: that the reset arrives as an end of the stream, as a read after it does report it.

Change: a response that ends with its connection is complete only if its request had been written completely. A server that ends its response in order has read the request by then; a close with unread bytes is a reset.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -17,7 +17,8 @@
  *
  * The connection is reused only if the request was sent completely and the response was complete, had a length or was chunked, and was
  * the only one: extra bytes would be taken for a part of the next response. A response without a length ends when the connection is
- * closed, and is complete only if the connection was not reset. A response to an earlier request is skipped.
+ * closed. It is complete only if the connection was not reset and the request had been written completely: when a write fails, the
+ * channel closes without an error that tells a reset from an end. A response to an earlier request is skipped.
  *
  * @param release returns the connection to its pool with the idle timeout that the server announced, in milliseconds, or null if it
  * announced none; 0 if the connection must be closed
@@ -125,9 +126,14 @@
         ctx: ChannelHandlerContext,
         active: PendingExchange,
     ) {
-        exchange = null
         val response = checkNotNull(head) { "the response ended before its head" }
         val isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        val isEndedByClose = !isFramed && !ctx.channel().isActive
+        if (isEndedByClose && requestWrite?.isSuccess != true) {
+            fail(ctx, ExchangeFailure.CUT)
+            return
+        }
+        exchange = null
         val canKeep =
             isFramed &&
                 !isUnusable &&
