Bound the memory of incomplete responses over all requests

Told by another operator: bytes without end from a faulty server used up the memory of a machine, and the requests of all its callers ended with it.

Cause: each stream kept an incomplete event of up to 1 MiB, and nothing bounded the sum.

Change: BufferBudget. Batch calls are read up to what their pieces need (8 MiB before), releases have a time limit, and what is thrown away ends after 64 KiB, 4 MiB (responses to other requests) or 100 interim responses in place of the deadline.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import io.monsoonpath.gateway.directory.BackendServer
 import io.monsoonpath.gateway.http.BackendCodec
 import io.monsoonpath.gateway.http.BackendConnectionPools
+import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.CallerCodec
 import io.monsoonpath.gateway.http.CallerServer
 import io.monsoonpath.gateway.http.ConnectionPoolLimits
@@ -132,6 +133,7 @@
             Random(settings.incarnation),
         )
     private val shutdownAdmission = ShutdownAdmission()
+    private val bufferBudget = BufferBudget()
     private val services =
         RequestServices(
             clock,
@@ -153,7 +155,7 @@
             log,
             metrics,
         )
-    private val requestDispatcher = RequestDispatcher(RequestFilters(configuration, codecs.caller), services)
+    private val requestDispatcher = RequestDispatcher(RequestFilters(configuration, codecs.caller), services, bufferBudget)
 
     /** The server that accepts connections from callers. */
     val callerServer = CallerServer(loop, clock, log, settings.callerAddress, { configuration.current?.callerLimits }, requestDispatcher)
@@ -162,6 +164,7 @@
         metrics.gauge("monsoonpath_log_dropped_lines") { log.dropped }
         metrics.gauge("monsoonpath_caller_connections") { callerServer.connectionCount }
         metrics.gauge("monsoonpath_quarantines") { crashQuarantine.size }
+        metrics.gauge("monsoonpath_buffered_response_bytes") { bufferBudget.usedBytes }
         metrics.gauge("monsoonpath_members") { membership.liveMembers.size }
         directory.onChange { id ->
             if (directory[id] != null) return@onChange
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/EventSplitter.kt
@@ -1,7 +1,6 @@
 package io.monsoonpath.gateway.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 
 /** Represents a complete event of a stream; [bytes] include the blank line that ends it, and [id] is null if it has no numeric ID. */
 class StreamEvent(
@@ -9,38 +8,39 @@
     val bytes: ByteArray,
 )
 
-/** Splits the bytes of an event stream into events. */
-class EventSplitter {
-    private val buffer = Unpooled.buffer()
+/** Splits the bytes of an event stream into events. The incomplete event counts against [budget] until [clear] is called. */
+class EventSplitter(
+    budget: BufferBudget,
+) {
+    private val buffer = BudgetedBuffer(budget)
 
     /** The start of the current line and the number of bytes already searched, both relative to the start of the incomplete event. */
     private var lineStart = 0
     private var searchedBytes = 0
 
-    /** Whether the incomplete event is longer than any event of an engine, so that the stream is probably no event stream. */
-    val isOverflowing: Boolean get() = pendingBytes > MAX_EVENT_BYTES
+    /** Whether the incomplete event is longer than any event of an engine or than the budget allows; the stream is probably none. */
+    val isOverflowing: Boolean get() = pendingBytes > MAX_EVENT_BYTES || !buffer.mayGrow
 
     /** The number of buffered bytes of an incomplete event. */
-    val pendingBytes: Int get() = buffer.readableBytes()
+    val pendingBytes: Int get() = buffer.size
 
     /** Appends [content] and returns the events that it completes. */
     fun add(content: ByteBuf): List<StreamEvent> {
-        buffer.writeBytes(content, content.readerIndex(), content.readableBytes())
+        buffer.append(content)
         val events = ArrayList<StreamEvent>()
         while (true) {
             val length = eventLength()
             if (length < 0) break
-            val bytes = ByteArray(length)
-            buffer.readBytes(bytes)
+            val bytes = buffer.remove(length)
             resetSearch()
             events += StreamEvent(idOf(bytes), bytes)
         }
-        buffer.discardReadBytes()
+        buffer.compact()
         return events
     }
 
     /** Removes and returns the bytes after the last complete event; if the response is not an event stream, that is all of its bytes. */
-    fun takeRemaining(): ByteArray = ByteArray(buffer.readableBytes()).also { buffer.readBytes(it) }
+    fun takeRemaining(): ByteArray = buffer.remove(buffer.size)
 
     /** Discards the incomplete event. */
     fun clear() {
@@ -55,11 +55,10 @@
 
     /** Returns the length of the first event including its blank line, or -1 if it is incomplete. */
     private fun eventLength(): Int {
-        val start = buffer.readerIndex()
-        while (searchedBytes < buffer.readableBytes()) {
+        while (searchedBytes < buffer.size) {
             val i = searchedBytes++
-            if (buffer.getByte(start + i) != NEWLINE) continue
-            val isBlank = i == lineStart || (i == lineStart + 1 && buffer.getByte(start + lineStart) == CARRIAGE_RETURN)
+            if (buffer[i] != NEWLINE) continue
+            val isBlank = i == lineStart || (i == lineStart + 1 && buffer[lineStart] == CARRIAGE_RETURN)
             if (isBlank && lineStart > 0) return i + 1
             lineStart = i + 1
         }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
@@ -25,11 +25,12 @@
 }
 
 /**
- * Collects a complete response and passes it to [done].
+ * Collects a complete response of at most [maxBodyBytes] bytes and passes it to [done].
  *
  * @param isReusable returns whether the connection can be used again after the given response
  */
 class FullResponseListener(
+    private val maxBodyBytes: Int,
     private val isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
     private val done: (ExchangeOutcome) -> Unit,
 ) : ExchangeListener {
@@ -43,8 +44,10 @@
 
     override fun onContent(content: ByteBuf) {
         if (isTooLong) return
-        body.writeBytes(content, content.readerIndex(), content.readableBytes())
-        if (body.readableBytes() <= MAX_BODY_BYTES) return
+        if (body.readableBytes() + content.readableBytes() <= maxBodyBytes) {
+            body.writeBytes(content, content.readerIndex(), content.readableBytes())
+            return
+        }
         isTooLong = true
         body.clear()
         done(ExchangeOutcome.Failed(ExchangeFailure.TOO_LONG))
@@ -57,22 +60,19 @@
     private fun completed() = ExchangeOutcome.Completed(checkNotNull(response) { "the response ended before its head" }, body)
 
     override fun onFailure(failure: ExchangeFailure) = done(ExchangeOutcome.Failed(failure))
-
-    private companion object {
-        /** Several times a page of the store, which is the longest response. */
-        const val MAX_BODY_BYTES = 8 shl 20
-    }
 }
 
 /**
  * Sends [request] and calls [done] once with the outcome, unless the returned exchange is cancelled.
  *
  * @param timeoutMs the time in milliseconds after which the exchange is cancelled
+ * @param maxBodyBytes the maximum length of the body; a longer response counts as failed
  * @param isReusable returns whether the connection can be used again after the given response
  */
 fun ServerConnectionPool.exchange(
     request: OutgoingRequest,
     timeoutMs: Long,
+    maxBodyBytes: Int,
     scheduler: Scheduler,
     isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
     done: (ExchangeOutcome) -> Unit,
@@ -87,7 +87,7 @@
             done(outcome)
         }
     }
-    val exchange = send(request, FullResponseListener(isReusable, complete)).also { sent = it }
+    val exchange = send(request, FullResponseListener(maxBodyBytes, isReusable, complete)).also { sent = it }
     scheduler.schedule(timeoutMs) {
         if (!isFinished) {
             exchange.cancel()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -34,6 +34,8 @@
     private var head: HttpResponse? = null
     private var isSkippingResponse = false
     private var isUnusable = false
+    private var skippedBytes = 0L
+    private var informationalCount = 0
 
     /** The time at which the connection became idle, in milliseconds. */
     var idleSinceMs = 0L
@@ -57,6 +59,8 @@
         val request = next.takeRequest(this) ?: return false
         exchange = next
         head = null
+        skippedBytes = 0
+        informationalCount = 0
         ctx.channel().config().isAutoRead = true
         requestWrite = ctx.writeAndFlush(request)
         return true
@@ -98,15 +102,19 @@
             fail(ctx, if (head == null) ExchangeFailure.MALFORMED else ExchangeFailure.CUT)
             return
         }
-        if (msg is HttpResponse) readHead(msg, active)
+        if (msg is HttpResponse) readHead(ctx, msg, active)
         if (msg is HttpContent && !active.isDone && head != null) readContent(ctx, msg, active)
     }
 
     private fun readHead(
+        ctx: ChannelHandlerContext,
         response: HttpResponse,
         active: PendingExchange,
     ) {
-        if (response.status().code() in INFORMATIONAL_STATUS) return
+        if (response.status().code() in INFORMATIONAL_STATUS) {
+            if (++informationalCount > MAX_INFORMATIONAL) fail(ctx, ExchangeFailure.MALFORMED)
+            return
+        }
         head = response
         isSkippingResponse = !active.listener.matches(response)
         if (isSkippingResponse) isUnusable = true else active.listener.onHead(response)
@@ -117,7 +125,12 @@
         msg: HttpContent,
         active: PendingExchange,
     ) {
-        if (!isSkippingResponse && msg.content().isReadable) active.listener.onContent(msg.content())
+        if (isSkippingResponse) {
+            skippedBytes += msg.content().readableBytes()
+            if (skippedBytes > MAX_SKIPPED_BYTES) return fail(ctx, ExchangeFailure.MALFORMED)
+        } else if (msg.content().isReadable) {
+            active.listener.onContent(msg.content())
+        }
         if (msg !is LastHttpContent || active.isDone) return
         if (isSkippingResponse) head = null else finish(ctx, active)
     }
@@ -169,6 +182,10 @@
 
     private companion object {
         val INFORMATIONAL_STATUS = 100..199
+
+        /** More informational responses, or bytes of other responses, before the expected response show a server without end. */
+        const val MAX_INFORMATIONAL = 100
+        const val MAX_SKIPPED_BYTES = 4L shl 20
         const val TIMEOUT_PARAMETER = "timeout="
         const val MS_PER_S = 1_000L
         const val KEEP_ALIVE = "keep-alive"
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -86,6 +86,7 @@
     /** Whether the length of the response is known, so that its end cannot be that of a server that crashes. */
     private var isFramed = false
     private var isFinished = false
+    private var ignoredBytes = 0L
 
     /** Whether the response of an earlier attempt was relayed in part, so that an error must not follow it. */
     private var isContinuation = false
@@ -199,7 +200,8 @@
     ): Boolean = !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING) && (head.isSigned || head.status !in SUCCESS_STATUS)
 
     override fun onContent(content: ByteBuf) {
-        if (isFinished || head?.isRejection == true || isErrorAfterStart()) return
+        if (isFinished) return
+        if (head?.isRejection == true || isErrorAfterStart()) return ignore(content)
         if (!hasRecordedResponse) handleFirstContent()
         if (services.clock.nowMs() - checkNotNull(firstContentAtMs) >= PROOF_MS) recordProof()
         if (!relay.content(content)) {
@@ -210,6 +212,15 @@
         }
     }
 
+    /** Ends the attempt if a body of which nothing is relayed does not end. */
+    private fun ignore(content: ByteBuf) {
+        ignoredBytes += content.readableBytes()
+        if (ignoredBytes <= MAX_IGNORED_BYTES) return
+        exchange?.cancel()
+        val rejection = head?.takeIf { it.isRejection }
+        if (rejection != null) endNotRun(rejection.status) else endLost("an error without end")
+    }
+
     /** Whether this response is an error, of which nothing may follow the part of a response that the caller has received. */
     private fun isErrorAfterStart() = isContinuation && head?.status !in SUCCESS_STATUS
 
@@ -325,6 +336,9 @@
 
         /** A backend server that runs on for this long after the first content of an answer was not crashed by it. */
         const val PROOF_MS = 250L
+
+        /** Longer than the texts of errors; to read on would cost more than a new connection. */
+        const val MAX_IGNORED_BYTES = 64 * 1024L
         const val MIN_ATTEMPT_TIMEOUT_MS = 250L
         const val ATTEMPT_TIMEOUT_FACTOR = 4.0
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestDispatcher.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway.request
 
+import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.CallerRequest
 import io.monsoonpath.gateway.http.RequestHandler
 import io.monsoonpath.gateway.http.ResponseWriter
@@ -10,6 +11,7 @@
 class RequestDispatcher(
     private val filters: RequestFilters,
     private val services: RequestServices,
+    private val bufferBudget: BufferBudget,
 ) : RequestHandler {
     override fun timeoutMs(head: HttpRequest): Long? = filters.timeoutMs(head)
 
@@ -18,7 +20,7 @@
         writer: ResponseWriter,
     ): RunningRequest =
         when (val result = filters.apply(request)) {
-            is FilterResult.Passed -> RequestRun(result.context, writer, services).start()
+            is FilterResult.Passed -> RequestRun(result.context, writer, services, bufferBudget).start()
             is FilterResult.Refused -> {
                 refuse(result, writer)
                 RunningRequest { }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -3,6 +3,7 @@
 import io.monsoonpath.gateway.config.RouteKind
 import io.monsoonpath.gateway.config.isIdempotent
 import io.monsoonpath.gateway.crash.text
+import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.monsoonpath.gateway.http.RunningRequest
 import io.monsoonpath.gateway.stage.DataLocality
@@ -22,11 +23,16 @@
     private val context: RequestContext,
     private val writer: ResponseWriter,
     private val services: RequestServices,
+    bufferBudget: BufferBudget,
 ) : RunningRequest {
     private val route = context.route
     private val id = context.head.id
     private val relay: ResponseRelay =
-        if (route.kind is RouteKind.Stream) EventStreamRelay(writer, context.head.lastEventId?.toLongOrNull()) else BufferedRelay(writer)
+        if (route.kind is RouteKind.Stream) {
+            EventStreamRelay(writer, bufferBudget, context.head.lastEventId?.toLongOrNull())
+        } else {
+            BufferedRelay(writer, bufferBudget)
+        }
     private val triedBackends = LinkedHashSet<BackendId>()
     private var stageRun: StageRun? = null
     private var handles: List<String> = emptyList()
@@ -314,6 +320,7 @@
         if (hasSharedParts) services.crashes.quarantine.removeListener(quarantineListener)
         if (cancelAttempt) attempt?.cancel()
         stageRun?.cancel()
+        relay.discard()
         val tookMs = nowMs() - context.request.receivedAtMs
         services.log.line(
             "request.ended",
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
@@ -1,5 +1,7 @@
 package io.monsoonpath.gateway.request
 
+import io.monsoonpath.gateway.http.BudgetedBuffer
+import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.EventSplitter
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.netty.buffer.ByteBuf
@@ -37,13 +39,14 @@
 /**
  * Buffers a response until it is complete, so that a response that is cut off can be replaced.
  *
- * A response of more than [MAX_BUFFERED_BYTES] bytes is relayed in parts.
+ * A response of more than [MAX_BUFFERED_BYTES] bytes, or than [budget] allows, is relayed in parts.
  */
 internal class BufferedRelay(
     private val writer: ResponseWriter,
+    budget: BufferBudget,
 ) : ResponseRelay {
     private var response: HttpResponse? = null
-    private var body = Unpooled.buffer()
+    private val body = BudgetedBuffer(budget)
     override var hasStarted = false
         private set
     override val canContinue: Boolean get() = !hasStarted
@@ -56,8 +59,8 @@
     }
 
     override fun content(bytes: ByteBuf): Boolean {
-        body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes())
-        if (body.readableBytes() > MAX_BUFFERED_BYTES) forward()
+        body.append(bytes)
+        if (body.size > MAX_BUFFERED_BYTES || !body.mayGrow) forward()
         return true
     }
 
@@ -68,20 +71,17 @@
             writer.end()
         } else {
             hasStarted = true
-            writer.writeFull(response.status(), endToEndHeaders(response.headers()), body)
+            writer.writeFull(response.status(), endToEndHeaders(response.headers()), body.take())
         }
     }
 
-    override fun discard() {
-        body.clear()
-    }
+    override fun discard() = body.clear()
 
     private fun forward() {
         val response = checkNotNull(response) { "the response has a body before its head" }
         if (!hasStarted) writer.writeHead(response.status(), endToEndHeaders(response.headers()))
         hasStarted = true
-        writer.writeContent(body)
-        body = Unpooled.buffer()
+        writer.writeContent(body.take())
     }
 
     private companion object {
@@ -98,9 +98,10 @@
  */
 internal class EventStreamRelay(
     private val writer: ResponseWriter,
+    private val budget: BufferBudget,
     lastEventId: Long?,
 ) : ResponseRelay {
-    private val splitter = EventSplitter()
+    private val splitter = EventSplitter(budget)
     private var response: HttpResponse? = null
     private var error: BufferedRelay? = null
     private var hasEventsOfResponse = false
@@ -120,11 +121,12 @@
     override fun canBeComplete(isFramed: Boolean) = hasStarted && (isFramed || hasEventsOfResponse) && splitter.pendingBytes == 0
 
     override fun head(response: HttpResponse) {
-        splitter.clear()
+        discard()
         hasEventsOfResponse = false
         if (hasStarted) return
         this.response = response
-        error = if (response.status().codeClass() == HttpStatusClass.SUCCESS) null else BufferedRelay(writer).also { it.head(response) }
+        error =
+            if (response.status().codeClass() == HttpStatusClass.SUCCESS) null else BufferedRelay(writer, budget).also { it.head(response) }
     }
 
     override fun content(bytes: ByteBuf): Boolean {
@@ -151,6 +153,7 @@
 
     override fun discard() {
         splitter.clear()
+        error?.discard()
         error = null
     }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
@@ -6,7 +6,6 @@
 import io.monsoonpath.gateway.http.BackendCodec
 import io.monsoonpath.gateway.http.BackendConnectionPools
 import io.monsoonpath.gateway.http.ExchangeOutcome
-import io.monsoonpath.gateway.http.FullResponseListener
 import io.monsoonpath.gateway.http.OutgoingRequest
 import io.monsoonpath.gateway.http.exchange
 import io.monsoonpath.model.ClockMs
@@ -40,7 +39,8 @@
                 onSent()
                 codec.encodeBatch(worker, pieces, clock.nowMs())
             }
-        connectionPools.poolFor(worker).exchange(call, timeoutMs, scheduler, { isRecognizable(it, pieces.size) }) {
+        val maxBodyBytes = MAX_OTHER_BYTES + MAX_RESULT_BYTES * pieces.size
+        connectionPools.poolFor(worker).exchange(call, timeoutMs, maxBodyBytes, scheduler, { isRecognizable(it, pieces.size) }) {
             done(read(it, pieces.size))
         }
     }
@@ -82,13 +82,19 @@
         handles: List<String>,
     ) {
         // The outcome is ignored: after a lost release, the worker frees the memory when the result expires.
-        connectionPools.poolFor(worker).send(codec.encodeRelease(worker, handles), FullResponseListener(done = { }))
+        val call = OutgoingRequest.Ready(codec.encodeRelease(worker, handles))
+        connectionPools.poolFor(worker).exchange(call, RELEASE_TIMEOUT_MS, MAX_OTHER_BYTES, scheduler) { }
     }
 
     private companion object {
         const val OK = 200
         const val MISDIRECTED = 421
 
+        /** Handles are addresses with an id, of some thirty bytes. */
+        const val MAX_RESULT_BYTES = 1_024
+        const val MAX_OTHER_BYTES = 16 * 1024
+        const val RELEASE_TIMEOUT_MS = 2_000L
+
         /** The results of many seconds, although a copy follows its original within a few calls. */
         const val MAX_RECEIVED_HANDLES = 8_192
     }
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/http/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/http/EventSplitterTest.kt
@@ -29,7 +29,7 @@
     fun `splits a stream into events`() =
         cases.map { case ->
             DynamicTest.dynamicTest(case.name) {
-                val splitter = EventSplitter()
+                val splitter = EventSplitter(BufferBudget())
                 val events = case.chunks.flatMap { splitter.add(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
                 assertEquals(case.events, events.map { it.id to String(it.bytes) })
                 assertEquals(case.pendingBytes, splitter.pendingBytes)
