Keep a connection until its response is written to the socket

Cause: a connection counted as idle once its last bytes were given to Netty, and a shutdown closes idle connections from 3.2 s on.

Change: CallerConnection.isInUse counts responses until their write to the socket has ended.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -53,8 +53,14 @@
     private var bodyEndsAtMs: Long? = null
     private var isClosing = false
 
+    /** The responses whose last byte was not written to the socket yet. */
+    private var unwrittenResponses = 0
+
     /** Whether a request is being read or served. */
-    val isBusy: Boolean get() = active != null || head != null || isReadingHead
+    private val isBusy: Boolean get() = active != null || head != null || isReadingHead
+
+    /** Whether closing the connection now would cut off a request or a response. */
+    val isInUse: Boolean get() = isBusy || unwrittenResponses > 0
 
     /** Returns a channel handler that detects the first byte of a request and starts the timeout for its head. */
     fun firstByteHandler(): ChannelHandler =
@@ -301,6 +307,10 @@
 
         private fun writeLast(message: Any) {
             val future = context?.writeAndFlush(message)
+            if (future != null) {
+                unwrittenResponses++
+                future.addListener { unwrittenResponses-- }
+            }
             if (!isKeepAlive) {
                 isClosing = true
                 future?.addListener(ChannelFutureListener.CLOSE)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerServer.kt
@@ -60,8 +60,8 @@
     /** The number of open connections. */
     val connectionCount: Int get() = connections.size
 
-    /** Whether a request is being read or served. */
-    val isBusy: Boolean get() = connections.any { it.isBusy }
+    /** Whether a request is being read or served, or a response is being written. */
+    val isBusy: Boolean get() = connections.any { it.isInUse }
 
     /** Starts listening. */
     fun start() {
@@ -93,8 +93,8 @@
     /** Notifies the requests that are being served of the shutdown; with [isEnding], the process ends right after it. */
     fun notifyShutdown(isEnding: Boolean) = connections.toList().forEach { it.notifyShutdown(isEnding) }
 
-    /** Closes connections without a current request. */
-    fun closeIdle() = connections.filterNot { it.isBusy }.forEach { it.close() }
+    /** Closes connections without a current request or response. */
+    fun closeIdle() = connections.filterNot { it.isInUse }.forEach { it.close() }
 
     /** Stops listening. */
     fun close() {
