Begin late requests of a shutdown only if they end in time for certain

Told by another operator: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated. It can happen here: ShutdownAdmission begins what usually ends in time, so one in twenty may be cut; its test bounds that at 5 %.

Change: requests that arrive more than 2.5 s after SIGTERM, when the platform has led callers to other instances, are begun only if their own time limit lies before the end of the process. Others are refused as not run at once. Early requests are served on the estimate as before, also if their call to the backend server begins late.

Measured: ShutdownAdmissionTest (20 seeds: no late request is cut, at least half are begun) and GatewayTest pass. The new cases were written with the new argument of the decision and not run on the old code, in which an estimate of 100 ms begins each of them.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -186,10 +186,13 @@
 
     /**
      * Begins the shutdown of this instance: it owns no pools any more, closes connections after their responses, and refuses requests that
-     * are likely to take longer than until [endsAtMs].
+     * are likely to take longer than until [endsAtMs], or might if they arrive from [lateFromMs] on.
      */
-    fun startShutdown(endsAtMs: Long) {
-        shutdownAdmission.endsAtMs = endsAtMs
+    fun startShutdown(
+        endsAtMs: Long,
+        lateFromMs: Long,
+    ) {
+        shutdownAdmission.begin(endsAtMs, lateFromMs)
         membership.announceLeaving()
         callerServer.startDraining()
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -82,7 +82,9 @@
         deviations: Double,
     ): Boolean {
         val remainingMs = context.deadlineAtMs - nowMs()
-        if (mayHaveRun || services.shutdownAdmission.canComplete(kind + route.name, remainingMs, nowMs(), deviations)) return false
+        val admission = services.shutdownAdmission
+        val canComplete = admission.canComplete(kind + route.name, remainingMs, nowMs(), deviations, context.request.receivedAtMs)
+        if (mayHaveRun || canComplete) return false
         refuse(Refusal.SHUTTING_DOWN)
         return true
     }
--- a/policy/src/main/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmission.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmission.kt
@@ -6,7 +6,8 @@
  * Decides which requests an instance that is shutting down still begins.
  *
  * Load pattern: callers go on using their open connections for seconds after the shutdown has begun. A request that takes longer than the
- * process has left would be cut off, although another instance could serve it. A short one is served as usual. Not thread-safe.
+ * process has left would be cut off, although another instance could serve it. A short one is served as usual, on an estimate. Once callers
+ * are led to other instances, few requests arrive, and each is begun only if it ends in time whatever happens. Not thread-safe.
  */
 class ShutdownAdmission {
     private class Duration(
@@ -16,8 +17,17 @@
 
     private val durations = HashMap<String, Duration>()
 
-    /** The time in milliseconds at which the process ends, or null if it is not shutting down. */
-    var endsAtMs: Long? = null
+    private var endsAtMs: Long? = null
+    private var lateFromMs = Long.MAX_VALUE
+
+    /** Begins the shutdown of the process, which ends at [endsAtMs]. Requests that arrive from [lateFromMs] on are late. */
+    fun begin(
+        endsAtMs: Long,
+        lateFromMs: Long,
+    ) {
+        this.endsAtMs = endsAtMs
+        this.lateFromMs = lateFromMs
+    }
 
     /** Records that work of [kind] took [durationMs] milliseconds. */
     fun record(
@@ -37,16 +47,19 @@
      * Returns whether work of [kind] that begins at [nowMs] is likely to end before the process does.
      *
      * @param deviations how many deviations longer than on average the work may take; more for work that can't be given up later
-     * @param longestMs the time that it may take at most, which is assumed if no such work has ended yet
+     * @param longestMs the time that it may take at most, which is assumed if no such work has ended yet or if its request was late
+     * @param receivedAtMs when its request arrived
      */
     fun canComplete(
         kind: String,
         longestMs: Long,
         nowMs: Long,
         deviations: Double,
+        receivedAtMs: Long,
     ): Boolean {
         val endsAtMs = endsAtMs ?: return true
-        val expectedMs = durations[kind]?.let { it.meanMs + it.deviationMs * deviations } ?: longestMs.toDouble()
+        val known = durations[kind].takeIf { receivedAtMs < lateFromMs }
+        val expectedMs = known?.let { it.meanMs + it.deviationMs * deviations } ?: longestMs.toDouble()
         return nowMs + minOf(expectedMs, longestMs.toDouble()) <= endsAtMs
     }
 
--- a/policy/src/test/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmissionTest.kt
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmissionTest.kt
@@ -30,9 +30,53 @@
     fun `requests that would outlive the process are not begun`() =
         cases.map { case ->
             DynamicTest.dynamicTest(case.name) {
-                val admission = ShutdownAdmission().apply { endsAtMs = case.endsAtMs }
+                val admission = ShutdownAdmission()
+                case.endsAtMs?.let { admission.begin(it, lateFromMs = Long.MAX_VALUE) }
                 case.durationsMs.forEach { admission.record("r", it) }
-                assertEquals(case.canComplete, admission.canComplete("r", longestMs = 5_000, nowMs = 0, CALL_DEVIATIONS))
+                assertEquals(case.canComplete, admission.canComplete("r", longestMs = 5_000, nowMs = 0, CALL_DEVIATIONS, receivedAtMs = 0))
+            }
+        }
+
+    private class LateCase(
+        val name: String,
+        val receivedAtMs: Long,
+        val nowMs: Long,
+        val longestMs: Long,
+        val isBegun: Boolean,
+    )
+
+    /** Requests that came late in the grace period were begun, took longer than most, and were cut off at its end. */
+    @TestFactory
+    fun `a request that arrives late is begun only if it ends in time for certain`() =
+        listOf(
+            LateCase("early", 2_000, 2_000, 20_000, isBegun = true),
+            LateCase("early, with its call late", 2_000, 6_000, 20_000, isBegun = true),
+            LateCase("late, and it may take longer than the process has left", 3_000, 3_000, 20_000, isBegun = false),
+            LateCase("late, and its caller leaves before the end", 3_000, 3_000, 1_500, isBegun = true),
+            LateCase("very late", 6_500, 6_500, 1_500, isBegun = false),
+        ).map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val admission = ShutdownAdmission()
+                repeat(20) { admission.record("r", 100) }
+                admission.begin(endsAtMs = 7_400, lateFromMs = 2_500)
+                val isBegun = admission.canComplete("r", case.longestMs, case.nowMs, CALL_DEVIATIONS, case.receivedAtMs)
+                assertEquals(case.isBegun, isBegun)
+            }
+        }
+
+    @TestFactory
+    fun `no request that arrives late is cut off`() =
+        (1L..20L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val random = java.util.Random(seed)
+                val admission = ShutdownAdmission()
+                val nextDurationMs = { (300 * Math.exp(0.8 * random.nextGaussian())).toLong() }
+                repeat(200) { admission.record("r", nextDurationMs()) }
+                admission.begin(endsAtMs = 7_400, lateFromMs = 2_500)
+                val arrivalsMs = Random(seed).let { arrivals -> List(400) { arrivals.nextLong(2_500, 7_400) } }
+                val begun = arrivalsMs.filter { admission.canComplete("r", MAX_DURATION_MS, it, CALL_DEVIATIONS, receivedAtMs = it) }
+                assertEquals(0, begun.count { it + nextDurationMs().coerceAtMost(MAX_DURATION_MS) > 7_400 })
+                assertTrue(begun.size >= arrivalsMs.size * 0.5, "${begun.size} of ${arrivalsMs.size} begun")
             }
         }
 
@@ -44,12 +88,16 @@
                 val admission = ShutdownAdmission()
                 val nextDurationMs = { (1_500 * Math.exp(0.44 * random.nextGaussian())).toLong() }
                 repeat(200) { admission.record("r", nextDurationMs()) }
-                admission.endsAtMs = 7_400
+                admission.begin(endsAtMs = 7_400, lateFromMs = Long.MAX_VALUE)
                 val arrivalsMs = Random(seed).let { arrivals -> List(400) { arrivals.nextLong(7_400) } }
-                val begun = arrivalsMs.filter { admission.canComplete("r", 20_000, it, CALL_DEVIATIONS) }
+                val begun = arrivalsMs.filter { admission.canComplete("r", 20_000, it, CALL_DEVIATIONS, receivedAtMs = it) }
                 val cut = begun.count { it + nextDurationMs() > 7_400 }
                 assertTrue(cut <= begun.size * 0.05, "$cut of ${begun.size} cut")
                 assertTrue(begun.size >= arrivalsMs.size * 0.25, "${begun.size} of ${arrivalsMs.size} begun")
             }
         }
+
+    private companion object {
+        const val MAX_DURATION_MS = 1_500L
+    }
 }
