End the use of a connection at any byte that belongs to no request

Cause: bytes on an idle connection closed it only once they made a decoded object. The beginning of a head stayed in the decoder, and the next response was read as its rest: status 503 with the id of the new request.

Ruled out: whole copies, recognized before.

Change: the connection is not kept if bytes follow the response, and is closed at any byte while idle, before it is decoded. A copy that comes after the next request was sent can't be told by its time; a head that contains another status line is malformed.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -3,10 +3,13 @@
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -16,9 +19,12 @@
  * Handles one connection to a server.
  *
  * The connection is reused only if the request was sent completely and the response was complete, had a length or was chunked, and was
- * the only one: extra bytes would be taken for a part of the next response. A response without a length ends when the connection is
- * closed. It is complete only if the connection was not reset and the request had been written completely: when a write fails, the
- * channel closes without an error that tells a reset from an end. A response to an earlier request is skipped.
+ * the only one. Extra bytes would be taken for a part of the next response, whether or not they are one: any byte after the response,
+ * or while the connection is idle, ends its use, and a head that contains another one is malformed. A response to an earlier request is
+ * skipped.
+ *
+ * A response without a length ends when the connection is closed. It is complete only if the connection was not reset and the request had
+ * been written completely: when a write fails, the channel closes without an error that tells a reset from an end.
  *
  * @param release returns the connection to its pool with the idle timeout that the server announced, in milliseconds, or null if it
  * announced none; 0 if the connection must be closed
@@ -37,6 +43,9 @@
     private var skippedBytes = 0L
     private var informationalCount = 0
 
+    private val decoder = ServerResponseDecoder { method }
+    private var method: HttpMethod? = null
+
     /** The time at which the connection became idle, in milliseconds. */
     var idleSinceMs = 0L
         private set
@@ -48,6 +57,25 @@
     /** Whether the connection is established and not closed. */
     val isOpen: Boolean get() = context?.channel()?.isActive == true
 
+    /** Returns the handlers of a channel to the server, in their order. */
+    fun handlers(): List<ChannelHandler> = listOf(idleGuard(), decoder, HttpRequestEncoder(), this)
+
+    /** Returns a handler that closes the channel when bytes arrive that belong to no request, before they are decoded. */
+    private fun idleGuard() =
+        object : ChannelInboundHandlerAdapter() {
+            override fun channelRead(
+                ctx: ChannelHandlerContext,
+                msg: Any,
+            ) {
+                if (exchange != null) {
+                    ctx.fireChannelRead(msg)
+                } else {
+                    ReferenceCountUtil.release(msg)
+                    ctx.close()
+                }
+            }
+        }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -58,6 +86,7 @@
         val ctx = checkNotNull(context) { "the connection has no channel" }
         val request = next.takeRequest(this) ?: return false
         exchange = next
+        method = request.method()
         head = null
         skippedBytes = 0
         informationalCount = 0
@@ -115,6 +144,7 @@
             if (++informationalCount > MAX_INFORMATIONAL) fail(ctx, ExchangeFailure.MALFORMED)
             return
         }
+        if (isSpliced(response)) return fail(ctx, ExchangeFailure.MALFORMED)
         head = response
         isSkippingResponse = !active.listener.matches(response)
         if (isSkippingResponse) isUnusable = true else active.listener.onHead(response)
@@ -150,6 +180,7 @@
         val canKeep =
             isFramed &&
                 !isUnusable &&
+                !decoder.hasUnreadBytes &&
                 active.listener.isReusable() &&
                 HttpUtil.isKeepAlive(response) &&
                 requestWrite?.isSuccess == true &&
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -13,8 +13,6 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpDecoderConfig
 import jdk.net.ExtendedSocketOptions
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -208,7 +206,7 @@
             .handler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
-                        channel.pipeline().addLast(HttpClientCodec(DECODER_CONFIG, false, false), connection)
+                        connection.handlers().forEach { channel.pipeline().addLast(it) }
                     }
                 },
             )
@@ -230,6 +228,5 @@
         /** The shortest that the operating system accepts; with the probes below, a dead connection is detected within three seconds. */
         const val TCP_KEEPALIVE_S = 1
         const val TCP_KEEPALIVE_PROBES = 2
-        val DECODER_CONFIG: HttpDecoderConfig = HttpDecoderConfig().setMaxHeaderSize(32 * 1024).setMaxChunkSize(16 * 1024)
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
@@ -0,0 +1,36 @@
+package io.monsoonpath.gateway.http
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/**
+ * Decodes the responses on a connection to a server.
+ *
+ * @param method returns the method of the request whose response is due, or null if there is none
+ */
+internal class ServerResponseDecoder(
+    private val method: () -> HttpMethod?,
+) : HttpResponseDecoder(
+        HttpDecoderConfig()
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES),
+    ) {
+    /** Whether bytes were received that are not decoded yet. After the end of a response, they belong to no request. */
+    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = method() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        const val MAX_HEADER_BYTES = 32 * 1024
+        const val MAX_CHUNK_BYTES = 16 * 1024
+    }
+}
+
+/** Returns whether another status line stands within the head of [response], as after the beginning of a response that was broken off. */
+internal fun isSpliced(response: HttpResponse): Boolean =
+    STATUS_LINE.containsMatchIn(response.status().reasonPhrase()) || response.headers().any { STATUS_LINE.containsMatchIn(it.value) }
+
+private val STATUS_LINE = Regex("""HTTP/1\.[01] \d{3}""")
