Free the memory of a response that is cut off after its caller has left

A request that may not be repeated runs on after its caller has left. If its response was then cut off, its buffer counted against BufferBudget for ever, and in the end long responses would have been cut though there was room. Found by reading the change.

The new case of GatewayTest failed before (1024 bytes in use after the end), and passes.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -237,7 +237,11 @@
 
     private fun handleAttemptResult(result: AttemptResult) {
         if (result != AttemptResult.FirstByte) attempt = null
-        if (isFinished) return
+        if (isFinished) {
+            // The caller has left, and the attempt has continued.
+            relay.discard()
+            return
+        }
         when (result) {
             AttemptResult.FirstByte -> {
                 firstByteMs = firstByteMs ?: (nowMs() - context.request.receivedAtMs)
