Limit the send buffer of connections to servers

Cause: its server closes in order with unread bytes, which sends an end and then a reset, and the instance reads the end. On a busy machine the system had buffered all 4 MB of the request by then, so the write had succeeded. Ruled out: a reset that the instance reads as an end, as the reset alone raises an error.

Change: SO_SNDBUF of 128 KiB, so that a longer request which its server does not read is not written.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -199,6 +199,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), TCP_KEEPALIVE_S)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), TCP_KEEPALIVE_S)
@@ -227,6 +228,9 @@
     private companion object {
         /** The shortest that the operating system accepts; with the probes below, a dead connection is detected within three seconds. */
         const val TCP_KEEPALIVE_S = 1
+
+        /** Without a limit, the system buffers whole requests of megabytes, and their write succeeds although no server reads them. */
+        const val SEND_BUFFER_BYTES = 128 * 1024
         const val TCP_KEEPALIVE_PROBES = 2
     }
 }
