Allocate the buffer of a response with its first byte

Each response replaced its buffer up to three times, at its head, at its end and when the request was finished, and allocated 256 bytes each time, also for responses without a body. An empty buffer stands for all of them. Behaviour is unchanged; BufferBudgetTest, EventSplitterTest and WorkerResponseTest pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/BufferBudget.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/BufferBudget.kt
@@ -39,7 +39,7 @@
 internal class BudgetedBuffer(
     private val budget: BufferBudget,
 ) {
-    private var content: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
+    private var content: ByteBuf = Unpooled.EMPTY_BUFFER
     private var chargedBytes = 0
 
     /** The number of bytes in the buffer. */
@@ -50,6 +50,7 @@
 
     /** Appends the readable bytes of [bytes] without changing its reader index. */
     fun append(bytes: ByteBuf) {
+        if (content === Unpooled.EMPTY_BUFFER) content = Unpooled.buffer(INITIAL_BYTES)
         content.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes())
         charge(content.capacity())
     }
@@ -75,7 +76,7 @@
     }
 
     private fun replace() {
-        content = Unpooled.buffer(INITIAL_BYTES)
+        content = Unpooled.EMPTY_BUFFER
         charge(0)
     }
 
