Split the checks of heads, the relay's factory and the data locality off

The checks of a request's head, the choice of a relay by the kind of a route and the failure domains of a request's results are pieces of their own now.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -22,8 +22,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -343,22 +341,5 @@
         const val MAX_BODY_TIME_MS = 600_000L
         const val MS_PER_S = 1_000L
         const val KEEP_ALIVE = "keep-alive"
-
-        fun statusOf(cause: Throwable): HttpResponseStatus =
-            when (cause) {
-                is TooLongHttpHeaderException, is TooLongHttpLineException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                else -> HttpResponseStatus.BAD_REQUEST
-            }
-
-        /** Returns whether HTTP implementations could disagree about the length or the host of [request]; such requests are rejected. */
-        fun isAmbiguous(request: HttpRequest): Boolean {
-            val headers = request.headers()
-            val lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH)
-            val encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
-            return lengths.size > 1 ||
-                encodings.size > 1 ||
-                (lengths.isNotEmpty() && encodings.isNotEmpty()) ||
-                headers.getAll(HttpHeaderNames.HOST).size != 1
-        }
     }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -6,13 +6,11 @@
 import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.ResponseWriter
 import io.monsoonpath.gateway.http.RunningRequest
-import io.monsoonpath.gateway.stage.DataLocality
 import io.monsoonpath.gateway.stage.PieceFailure
 import io.monsoonpath.gateway.stage.StageDeadlines
 import io.monsoonpath.gateway.stage.StageOutcome
 import io.monsoonpath.gateway.stage.StageRun
 import io.monsoonpath.model.BackendId
-import io.monsoonpath.model.FailureDomain
 import io.monsoonpath.policy.batch.AdmissionDecision
 import io.monsoonpath.policy.crash.PromptQuarantine
 import io.monsoonpath.policy.deadline.ShutdownAdmission.Companion.CALL_DEVIATIONS
@@ -27,12 +25,7 @@
 ) : RunningRequest {
     private val route = context.route
     private val id = context.head.id
-    private val relay: ResponseRelay =
-        if (route.kind is RouteKind.Stream) {
-            EventStreamRelay(writer, bufferBudget, context.head.lastEventId?.toLongOrNull())
-        } else {
-            BufferedRelay(writer, bufferBudget)
-        }
+    private val relay = responseRelay(route.kind, writer, bufferBudget, context.head.lastEventId)
     private val triedBackends = LinkedHashSet<BackendId>()
     private var stageRun: StageRun? = null
     private var handles: List<String> = emptyList()
@@ -146,7 +139,7 @@
                 context.head.stagePieceCounts,
                 context.head.inputKey.orEmpty(),
                 context.table::poolOf,
-                dataLocality(),
+                RequestDataLocality(context, services),
                 StageDeadlines(
                     context.latencyTargetAtMs - StageAdmission.EXPECTED_CALL_MS,
                     context.expectedDisconnectAtMs - StageAdmission.EXPECTED_CALL_MS,
@@ -159,19 +152,6 @@
         run.start()
     }
 
-    private fun dataLocality(): DataLocality {
-        val pool = context.table.poolOf(context.pool)
-        return object : DataLocality {
-            override val callDomain = pool?.let { services.selector.likelyDomain(it, context.head.promptParts, nowMs()) }
-
-            override fun domainOf(handle: String): FailureDomain? =
-                services.codec
-                    .addressOf(handle)
-                    ?.let(services.directory::findByAddress)
-                    ?.failureDomain
-        }
-    }
-
     private fun handleStageOutcome(outcome: StageOutcome) {
         if (isFinished) return
         when (outcome) {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/ResponseRelay.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway.request
 
+import io.monsoonpath.gateway.config.RouteKind
 import io.monsoonpath.gateway.http.BudgetedBuffer
 import io.monsoonpath.gateway.http.BufferBudget
 import io.monsoonpath.gateway.http.EventSplitter
@@ -36,6 +37,22 @@
     fun discard()
 }
 
+/**
+ * Returns a relay for responses to requests of [kind], whose callers have received the events of a stream up to [lastEventId], if any.
+ *
+ * @param budget the memory that the incomplete responses of all requests may take together
+ */
+internal fun responseRelay(
+    kind: RouteKind,
+    writer: ResponseWriter,
+    budget: BufferBudget,
+    lastEventId: String?,
+): ResponseRelay =
+    when (kind) {
+        is RouteKind.Stream -> EventStreamRelay(writer, budget, lastEventId?.toLongOrNull())
+        RouteKind.Idempotent, RouteKind.NonIdempotent -> BufferedRelay(writer, budget)
+    }
+
 /**
  * Buffers a response until it is complete, so that a response that is cut off can be replaced.
  *
