--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/VirtualTimeScheduler.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/VirtualTimeScheduler.kt
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue
 
 /** Runs actions in virtual time, in the order of their times. Those that are due during the pause [pausedMs] run at its end. */
-internal class VirtualTimeScheduler(
+class VirtualTimeScheduler(
     private val pausedMs: LongRange = LongRange.EMPTY,
 ) : Scheduler {
     private class Action(
