--- a/policy/src/test/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmissionTest.kt
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/deadline/ShutdownAdmissionTest.kt
@@ -64,19 +64,39 @@
             }
         }
 
+    /** The numbers of requests that arrived, were begun and were cut off in a shutdown. */
+    private class Counts(
+        val arrived: Int,
+        val begun: Int,
+        val cut: Int,
+    )
+
+    /** Runs a shutdown that ends at 7,400 ms, in which 400 requests arrive during [arrivalsMs] and take times of a lognormal distribution. */
+    private fun shutDown(
+        seed: Long,
+        medianMs: Int,
+        sigma: Double,
+        maxDurationMs: Long,
+        arrivalsMs: LongRange,
+        lateFromMs: Long,
+    ): Counts {
+        val random = java.util.Random(seed)
+        val admission = ShutdownAdmission()
+        val nextDurationMs = { (medianMs * Math.exp(sigma * random.nextGaussian())).toLong().coerceAtMost(maxDurationMs) }
+        repeat(200) { admission.record("r", nextDurationMs()) }
+        admission.begin(END_MS, lateFromMs)
+        val arrivals = Random(seed).let { times -> List(400) { times.nextLong(arrivalsMs.first, arrivalsMs.last) } }
+        val begun = arrivals.filter { admission.canComplete("r", maxDurationMs, it, CALL_DEVIATIONS, receivedAtMs = it) }
+        return Counts(arrivals.size, begun.size, begun.count { it + nextDurationMs() > END_MS })
+    }
+
     @TestFactory
     fun `no request that arrives late is cut off`() =
         (1L..20L).map { seed ->
             DynamicTest.dynamicTest("seed $seed") {
-                val random = java.util.Random(seed)
-                val admission = ShutdownAdmission()
-                val nextDurationMs = { (300 * Math.exp(0.8 * random.nextGaussian())).toLong() }
-                repeat(200) { admission.record("r", nextDurationMs()) }
-                admission.begin(endsAtMs = 7_400, lateFromMs = 2_500)
-                val arrivalsMs = Random(seed).let { arrivals -> List(400) { arrivals.nextLong(2_500, 7_400) } }
-                val begun = arrivalsMs.filter { admission.canComplete("r", MAX_DURATION_MS, it, CALL_DEVIATIONS, receivedAtMs = it) }
-                assertEquals(0, begun.count { it + nextDurationMs().coerceAtMost(MAX_DURATION_MS) > 7_400 })
-                assertTrue(begun.size >= arrivalsMs.size * 0.5, "${begun.size} of ${arrivalsMs.size} begun")
+                val counts = shutDown(seed, 300, 0.8, maxDurationMs = 1_500, arrivalsMs = 2_500..END_MS, lateFromMs = 2_500)
+                assertEquals(0, counts.cut)
+                assertTrue(counts.begun >= counts.arrived * 0.5, "${counts.begun} of ${counts.arrived} begun")
             }
         }
 
@@ -84,20 +104,13 @@
     fun `few of the requests that are begun are cut off`() =
         (1L..20L).map { seed ->
             DynamicTest.dynamicTest("seed $seed") {
-                val random = java.util.Random(seed)
-                val admission = ShutdownAdmission()
-                val nextDurationMs = { (1_500 * Math.exp(0.44 * random.nextGaussian())).toLong() }
-                repeat(200) { admission.record("r", nextDurationMs()) }
-                admission.begin(endsAtMs = 7_400, lateFromMs = Long.MAX_VALUE)
-                val arrivalsMs = Random(seed).let { arrivals -> List(400) { arrivals.nextLong(7_400) } }
-                val begun = arrivalsMs.filter { admission.canComplete("r", 20_000, it, CALL_DEVIATIONS, receivedAtMs = it) }
-                val cut = begun.count { it + nextDurationMs() > 7_400 }
-                assertTrue(cut <= begun.size * 0.05, "$cut of ${begun.size} cut")
-                assertTrue(begun.size >= arrivalsMs.size * 0.25, "${begun.size} of ${arrivalsMs.size} begun")
+                val counts = shutDown(seed, 1_500, 0.44, maxDurationMs = 20_000, arrivalsMs = 0..END_MS, lateFromMs = Long.MAX_VALUE)
+                assertTrue(counts.cut <= counts.begun * 0.05, "${counts.cut} of ${counts.begun} cut")
+                assertTrue(counts.begun >= counts.arrived * 0.25, "${counts.begun} of ${counts.arrived} begun")
             }
         }
 
     private companion object {
-        const val MAX_DURATION_MS = 1_500L
+        const val END_MS = 7_400L
     }
 }
