Accept a stage's answer without a length only if its JSON is complete

Cause: the HTTP client ends a response without a length at any close, and does not say whether its connection was reset.

Evidence: BackendSenderTest sends such answers over HTTP/1. With the check disabled 4 of its 7 cases fail: nothing, a part and an end, a part and a reset, a part within a string. Answers with a length, and streams, which end with an explicit count, were not affected.

Change: an answer without a length must be a closed object or array. JsonDepthTracker tells whether one is open.

Measured: BackendSenderTest and BackendFaultsTest pass.

--- a/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.client.SessionProtocolNegotiationException
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
@@ -20,6 +21,7 @@
 import io.monsoonpath.app.request.StageCall
 import io.monsoonpath.app.request.StageSender
 import io.monsoonpath.app.request.Token
+import io.monsoonpath.model.JsonDepthTracker
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.future.await
 import java.net.ConnectException
@@ -37,7 +39,11 @@
         exchange(call, MediaType.JSON) { response ->
             val answer = response.aggregate().await()
             headFailureOrNull(call, answer.headers())
-                ?: SendResult.Answered(answer.content().array(), answer.headers().get(INCARNATION_HEADER))
+                ?: if (isCutOff(answer)) {
+                    SendResult.Failed("did not answer: the answer was cut off")
+                } else {
+                    SendResult.Answered(answer.content().array(), answer.headers().get(INCARNATION_HEADER))
+                }
         }
 
     override suspend fun stream(
@@ -117,6 +123,17 @@
     }
 }
 
+/**
+ * Returns whether [answer] is only the beginning of one. Over HTTP/1, an answer without a length ends with its connection, and the client
+ * does not tell a reset from an end.
+ */
+private fun isCutOff(answer: AggregatedHttpResponse): Boolean {
+    if (answer.headers().contentLength() >= 0) return false
+    val tracker = JsonDepthTracker()
+    answer.content().array().forEach { tracker.depthAfter(it.toInt().toChar()) }
+    return answer.content().isEmpty || tracker.isOpen
+}
+
 private fun ResponseHeaders.mismatchOrNull(call: StageCall): Mismatch? {
     val request = get(REQUEST_ID_HEADER)
     val stage = get(STAGE_HEADER)
--- a/model/src/main/kotlin/io/monsoonpath/model/JsonDepthTracker.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/JsonDepthTracker.kt
@@ -10,6 +10,9 @@
     private var inString = false
     private var escaped = false
 
+    /** Whether an object, an array or a string is open, so that the text can't end here. */
+    val isOpen: Boolean get() = depth > 0 || inString
+
     /** Consumes [c] and returns the number of objects and arrays that are open after it. */
     fun depthAfter(c: Char): Int {
         when {
