Log and count what servers send beside the response that is due

Callers got a success where their server had answered with a failure, and the logs could not tell whether the connection had been used before, whether responses had been skipped on it, or what a malformed response looked like.

attempt.ended now has the number of the exchange on its connection and whether the response named its request; connection.stray tells the kind and the beginning of bytes that are no part of the response, and a metric counts them by kind. No decision changes.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
@@ -81,4 +81,7 @@
 
     /** Pauses or resumes reading of the response. */
     fun setReading(isReading: Boolean)
+
+    /** The number of this exchange among those of its connection, from 1, or null if it was not started. */
+    val numberOnConnection: Int?
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/PendingExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/PendingExchange.kt
@@ -8,6 +8,8 @@
     val listener: ExchangeListener,
 ) : Exchange {
     private var connection: ServerConnection? = null
+    override var numberOnConnection: Int? = null
+        private set
 
     /** Whether the exchange is complete, failed or cancelled, so that the listener must not be called any more. */
     var isDone = false
@@ -25,7 +27,10 @@
                 is OutgoingRequest.Ready -> taken.request
                 is OutgoingRequest.Deferred -> taken.create()
             }
-        if (created != null) connection = receiver
+        if (created != null) {
+            connection = receiver
+            numberOnConnection = receiver.exchangeCount + 1
+        }
         return created
     }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.model.ClockMs
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
@@ -32,6 +33,7 @@
 internal class ServerConnection(
     private val clock: ClockMs,
     private val log: DecisionLog,
+    private val strayBytes: StrayBytesReporter,
     private val release: (ServerConnection, Long?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var context: ChannelHandlerContext? = null
@@ -46,6 +48,10 @@
     private val decoder = ServerResponseDecoder { method }
     private var method: HttpMethod? = null
 
+    /** The number of exchanges that were started on this connection. */
+    var exchangeCount = 0
+        private set
+
     /** The time at which the connection became idle, in milliseconds. */
     var idleSinceMs = 0L
         private set
@@ -70,6 +76,7 @@
                 if (exchange != null) {
                     ctx.fireChannelRead(msg)
                 } else {
+                    strayBytes.report(StrayBytes.IDLE, exchangeCount, msg as ByteBuf)
                     ReferenceCountUtil.release(msg)
                     ctx.close()
                 }
@@ -86,6 +93,7 @@
         val ctx = checkNotNull(context) { "the connection has no channel" }
         val request = next.takeRequest(this) ?: return false
         exchange = next
+        exchangeCount++
         method = request.method()
         head = null
         skippedBytes = 0
@@ -128,6 +136,7 @@
         active: PendingExchange,
     ) {
         if (msg.decoderResult().isFailure) {
+            strayBytes.report(StrayBytes.MALFORMED, exchangeCount, msg.decoderResult().cause().message)
             fail(ctx, if (head == null) ExchangeFailure.MALFORMED else ExchangeFailure.CUT)
             return
         }
@@ -144,10 +153,15 @@
             if (++informationalCount > MAX_INFORMATIONAL) fail(ctx, ExchangeFailure.MALFORMED)
             return
         }
-        if (isSpliced(response)) return fail(ctx, ExchangeFailure.MALFORMED)
+        if (isSpliced(response)) {
+            strayBytes.report(StrayBytes.SPLICED, exchangeCount, response.status().toString())
+            return fail(ctx, ExchangeFailure.MALFORMED)
+        }
         head = response
         isSkippingResponse = !active.listener.matches(response)
-        if (isSkippingResponse) isUnusable = true else active.listener.onHead(response)
+        if (!isSkippingResponse) return active.listener.onHead(response)
+        strayBytes.report(StrayBytes.OTHER_RESPONSE, exchangeCount, response.status().toString())
+        isUnusable = true
     }
 
     private fun readContent(
@@ -177,6 +191,7 @@
             return
         }
         exchange = null
+        if (decoder.hasUnreadBytes) strayBytes.report(StrayBytes.TRAILING, exchangeCount)
         val canKeep =
             isFramed &&
                 !isUnusable &&
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -21,6 +21,9 @@
 interface ConnectionCounters {
     /** Counts a connection that is being opened. */
     fun opened()
+
+    /** Counts an occurrence of stray bytes. */
+    fun received(stray: StrayBytes)
 }
 
 /** The result of opening a connection to a server only to find out whether it runs. */
@@ -66,6 +69,7 @@
     private val log: DecisionLog,
 ) {
     private val idleConnections = ArrayDeque<ServerConnection>()
+    private val strayBytes = StrayBytesReporter(address, counters, log)
     private var openCount = 0
     private var isClosed = false
 
@@ -172,7 +176,7 @@
     private fun open(onDone: (ChannelFuture, ServerConnection) -> Unit) {
         openCount++
         counters.opened()
-        val connection = ServerConnection(clock, log, ::release)
+        val connection = ServerConnection(clock, log, strayBytes, ::release)
         val future = bootstrap(connection).connect(InetSocketAddress(address.host, address.port))
         future.channel().closeFuture().addListener {
             openCount--
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/metrics/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.monsoonpath.gateway.http.ConnectionCounters
+import io.monsoonpath.gateway.http.StrayBytes
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -18,6 +19,11 @@
 
     override fun opened() = connections.increment()
 
+    override fun received(stray: StrayBytes) =
+        counters
+            .getOrPut("stray/${stray.label}") { registry.counter("monsoonpath_backend_stray_bytes", "kind", stray.label) }
+            .increment()
+
     /** Records a request on [route] that ended with [outcome], [durationMs] after its arrival. */
     fun requestEnded(
         route: String,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -320,6 +320,8 @@
             "backend" to server.id,
             "end" to outcome,
             "detail" to detail,
+            "exchange" to exchange?.numberOnConnection,
+            "named" to head?.let { it.requestId != null },
             "headMs" to headAtMs?.let { it - startedAtMs },
             "firstContentMs" to firstContentAtMs?.let { it - startedAtMs },
             "tookMs" to services.clock.nowMs() - startedAtMs,
