Take no response for one that is made of two, or that names no request

Evidence: BrokenCopyTest writes each part of a copy, before the next request or before the next response. The splice itself has been rejected since, which was found through a refusal; no test covered successes, nor each place of the break.

Change: on a connection that was used before, a response must name its request, unless it is a refusal: servers that are full name none, and their connections are not kept (GatewayTest). Interim responses and the trailers of a skipped response are checked for a second status line, and a response to another request that would end only with the connection ends the exchange at once.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Exchange.kt
@@ -53,10 +53,22 @@
     ) : OutgoingRequest
 }
 
+/** Which request a response belongs to, as far as its head tells. */
+enum class ResponseOwner {
+    /** The request of the exchange. */
+    THIS_REQUEST,
+
+    /** Another request: the response is a late one, and is skipped. */
+    OTHER_REQUEST,
+
+    /** The head does not tell. On a connection that was used before, the response may be a late copy of an earlier one. */
+    UNKNOWN,
+}
+
 /** Receives the response of one exchange. The last call is either [onEnd] or [onFailure], unless the exchange is cancelled. */
 interface ExchangeListener {
-    /** Returns whether [response] belongs to this request; a late response to an earlier request is skipped. */
-    fun matches(response: HttpResponse): Boolean = true
+    /** Returns which request [response] belongs to; called before [onHead]. */
+    fun ownerOf(response: HttpResponse): ResponseOwner = ResponseOwner.THIS_REQUEST
 
     /** Called when the head of the response has arrived. */
     fun onHead(response: HttpResponse)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -149,21 +149,48 @@
         response: HttpResponse,
         active: PendingExchange,
     ) {
+        if (isSpliced(response)) return reject(ctx, StrayBytes.SPLICED, response)
         if (response.status().code() in INFORMATIONAL_STATUS) {
             if (++informationalCount > MAX_INFORMATIONAL) fail(ctx, ExchangeFailure.MALFORMED)
             return
         }
-        if (isSpliced(response)) {
-            strayBytes.report(StrayBytes.SPLICED, exchangeCount, response.status().toString())
-            return fail(ctx, ExchangeFailure.MALFORMED)
+        when (active.listener.ownerOf(response)) {
+            ResponseOwner.THIS_REQUEST -> accept(response, active)
+            ResponseOwner.UNKNOWN -> if (exchangeCount > 1) reject(ctx, StrayBytes.UNNAMED, response) else accept(response, active)
+            ResponseOwner.OTHER_REQUEST -> skip(ctx, response)
         }
+    }
+
+    private fun accept(
+        response: HttpResponse,
+        active: PendingExchange,
+    ) {
         head = response
-        isSkippingResponse = !active.listener.matches(response)
-        if (!isSkippingResponse) return active.listener.onHead(response)
+        isSkippingResponse = false
+        active.listener.onHead(response)
+    }
+
+    /** Skips a response to another request. Without a length, it would end with the connection, and no other could follow. */
+    private fun skip(
+        ctx: ChannelHandlerContext,
+        response: HttpResponse,
+    ) {
+        if (decoder.endsWithConnection(response)) return reject(ctx, StrayBytes.OTHER_RESPONSE, response)
         strayBytes.report(StrayBytes.OTHER_RESPONSE, exchangeCount, response.status().toString())
+        head = response
+        isSkippingResponse = true
         isUnusable = true
     }
 
+    private fun reject(
+        ctx: ChannelHandlerContext,
+        kind: StrayBytes,
+        response: HttpResponse,
+    ) {
+        strayBytes.report(kind, exchangeCount, response.status().toString())
+        fail(ctx, ExchangeFailure.MALFORMED)
+    }
+
     private fun readContent(
         ctx: ChannelHandlerContext,
         msg: HttpContent,
@@ -176,7 +203,10 @@
             active.listener.onContent(msg.content())
         }
         if (msg !is LastHttpContent || active.isDone) return
-        if (isSkippingResponse) head = null else finish(ctx, active)
+        if (!isSkippingResponse) return finish(ctx, active)
+        // The trailers of a copy that is broken off are the head of the response that is due.
+        if (!msg.trailingHeaders().isEmpty) return reject(ctx, StrayBytes.SPLICED, checkNotNull(head) { "the body has no head" })
+        head = null
     }
 
     private fun finish(
@@ -184,7 +214,7 @@
         active: PendingExchange,
     ) {
         val response = checkNotNull(head) { "the response ended before its head" }
-        val isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        val isFramed = isFramed(response)
         val isEndedByClose = !isFramed && !ctx.channel().isActive
         if (isEndedByClose && requestWrite?.isSuccess != true) {
             fail(ctx, ExchangeFailure.CUT)
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
 
 /**
  * Decodes the responses on a connection to a server.
@@ -21,6 +22,9 @@
     /** Whether bytes were received that are not decoded yet. After the end of a response, they belong to no request. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** Returns whether the body of [response] has no length and ends with the connection. */
+    fun endsWithConnection(response: HttpResponse): Boolean = !isFramed(response) && !isContentAlwaysEmpty(response)
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = method() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
     private companion object {
@@ -29,6 +33,10 @@
     }
 }
 
+/** Returns whether [response] has a length or is chunked. */
+internal fun isFramed(response: HttpResponse): Boolean =
+    HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
 /** Returns whether another status line stands within the head of [response], as after the beginning of a response that was broken off. */
 internal fun isSpliced(response: HttpResponse): Boolean =
     STATUS_LINE.containsMatchIn(response.status().reasonPhrase()) || response.headers().any { STATUS_LINE.containsMatchIn(it.value) }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/StrayBytes.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/StrayBytes.kt
@@ -18,6 +18,9 @@
     /** A response to another request. */
     OTHER_RESPONSE("other-response"),
 
+    /** A response that does not name its request, on a connection that was used before. */
+    UNNAMED("unnamed"),
+
     /** A head within which another response begins. */
     SPLICED("spliced"),
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -11,7 +11,9 @@
 import io.monsoonpath.gateway.http.ExchangeListener
 import io.monsoonpath.gateway.http.OutgoingRequest
 import io.monsoonpath.gateway.http.ResponseHead
+import io.monsoonpath.gateway.http.ResponseOwner
 import io.monsoonpath.gateway.http.ResponseWriter
+import io.monsoonpath.gateway.http.isFramed
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -174,15 +176,21 @@
         endLost("no answer in time")
     }
 
-    override fun matches(response: HttpResponse): Boolean {
+    override fun ownerOf(response: HttpResponse): ResponseOwner {
         val decoded = services.codec.decode(response)
-        return decoded.requestId == null || decoded.requestId == context.head.id
+        return when {
+            decoded.requestId == context.head.id -> ResponseOwner.THIS_REQUEST
+            decoded.requestId != null -> ResponseOwner.OTHER_REQUEST
+            // Servers that refuse name no request, and their connections are not kept, so this is no copy of an earlier refusal.
+            decoded.isRejection -> ResponseOwner.THIS_REQUEST
+            else -> ResponseOwner.UNKNOWN
+        }
     }
 
     override fun onHead(response: HttpResponse) {
         val decoded = services.codec.decode(response)
         head = decoded
-        isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        isFramed = isFramed(response)
         headAtMs = services.clock.nowMs()
         // The head of a rejection decides alone; nothing of a rejection is relayed.
         if (decoded.isRejection) return
