Let the soak's workers write copies late, and compare what callers got with the answers

Callers got a success where their server had answered with an error, because a server wrote a part of an earlier response once more on a kept connection. The soak missed it: its workers wrote a second response only at once and in whole, so that the connection was closed, and the checker compared the bodies of successes only, not the statuses.

Workers now keep their connections by Keep-Alive, and write copies of earlier successes, errors and refusals of the connection, in whole or cut at any byte: after a response, or in front of the next one, which is then an error in every other case. What is written follows from the seed, the worker, the request and what was written on the connection before. Each response has a signature of its own. A success or a signed failure must be one that a worker gave to this request, with status, signature and whole body. A caller that ends with an exception is a violation; before, its thread ended unseen. No bound changes.

Copies that name no request are not covered.

--- a/soak/src/test/kotlin/io/monsoonpath/soak/Caller.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/Caller.kt
@@ -9,10 +9,11 @@
 
 /** The outcome of one request of a caller. */
 sealed interface CallerResult {
-    /** The caller received a complete response. */
+    /** The caller received a complete response. [signature] is that of the worker, or null if the response is not signed. */
     data class Response(
         val status: Int,
         val body: String,
+        val signature: String?,
     ) : CallerResult
 
     /** The caller received no complete response: the connection ended or the timeout passed, as [detail] says. */
@@ -66,13 +67,20 @@
 
     private fun readResponse(input: InputStream): CallerResult {
         val status = readLine(input).split(' ')[1].toInt()
-        val headers = generateSequence { readLine(input).takeIf { it.isNotEmpty() } }.associate { parseHeader(it) }
+        val headers = readHeaders(input)
         val length = headers["content-length"]?.toInt()
         val body = if (length != null) String(readExactly(input, length), Charsets.ISO_8859_1) else readChunkedBody(input)
         if (headers["connection"].equals("close", ignoreCase = true)) close()
-        return CallerResult.Response(status, body)
+        return CallerResult.Response(status, body, headers["monsoonpath-response-signature"])
     }
 
+    /** Returns the headers by their names in lower case. The values of a repeated header are joined by commas. */
+    private fun readHeaders(input: InputStream): Map<String, String> =
+        generateSequence { readLine(input).takeIf { it.isNotEmpty() } }
+            .map { parseHeader(it) }
+            .groupBy({ it.first }, { it.second })
+            .mapValues { it.value.joinToString(", ") }
+
     private fun parseHeader(line: String) = line.substringBefore(':').lowercase() to line.substringAfter(':').trim()
 
     private fun readChunkedBody(input: InputStream): String {
--- a/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
@@ -78,6 +78,7 @@
                     executionsOfRequest.isNotEmpty()
             },
             "got the unexpected body '${response?.body}'".takeIf { response?.status == OK && response.body != expectedBody(request) },
+            response?.let { foreignResponse(it, executionsOfRequest) },
             "was denied with ${response?.status}, although its key was not withdrawn".takeIf {
                 response != null &&
                     response.status in DENIAL_STATUSES &&
@@ -91,6 +92,18 @@
         ).map { "${request.kind} ${request.id} at ${request.instance}, sent at ${request.sentAtMs} ms: $it" }
     }
 
+    /** Returns a violation if [response] is a success, or a signed failure, that no worker gave to the request. */
+    private fun foreignResponse(
+        response: CallerResult.Response,
+        executionsOfRequest: List<Execution>,
+    ): String? {
+        val isSuccess = response.status in SUCCESS_STATUSES
+        if (!isSuccess && response.signature == null) return null
+        val answers = executionsOfRequest.mapNotNull { it.answer }
+        if (answers.any { it.status == response.status && it.signature == response.signature && it.body == response.body }) return null
+        return "got $response, but the workers answered ${executionsOfRequest.map { it.worker to it.answer }}"
+    }
+
     /**
      * Returns whether only a planned operation can explain that [request] got no complete response.
      *
@@ -142,6 +155,7 @@
         const val OK = 200
         const val TOLERATED_CRASHES = 5
         const val TOLERATED_SENDS = 3
+        val SUCCESS_STATUSES = 200..299
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         val DENIAL_STATUSES = setOf(400, 401, 403, 404, 413, 431)
     }
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -16,6 +16,8 @@
     val requests: Int,
     val servedFractionAfterFaults: Double,
     val violations: List<String>,
+    /** The number of late copies of each kind that the workers wrote. */
+    val lateCopies: Map<CopyKind, Int>,
 )
 
 /** Runs entry instances as processes against a fake store and fake workers, and injects the faults that follow from [seed]. */
@@ -26,7 +28,7 @@
     private val startNs = System.nanoTime()
     private val storeContents = StoreContents()
     private val store = FakeStore(storeContents)
-    private val workers = SoakWorkers(storeContents, ::nowMs, ::scheduleAfter)
+    private val workers = SoakWorkers(seed, storeContents, ::nowMs, ::scheduleAfter)
     private val schedule = FaultSchedule(seed, INSTANCES, WORKERS)
     private val checker = GuaranteeChecker(workers.executions, workers.crashTimesMs, schedule, ::wasReceived)
     private val hosts = List(INSTANCES) { "127.0.${(FIRST_HOST_NUMBER + it) / HOST_NUMBERS}.${(FIRST_HOST_NUMBER + it) % HOST_NUMBERS}" }
@@ -56,14 +58,19 @@
         instances.forEach { it.start() }
         check(await(READY_TIMEOUT_MS) { instances.all { it.isReady() } }) { "not all instances became ready in time" }
         trafficStartMs = elapsedMs()
-        val callers = List(CALLERS) { thread(isDaemon = true) { runCaller(Random(seed * CALLERS + it)) } }
+        val callers = List(CALLERS) { thread(isDaemon = true) { recordingFailure { runCaller(Random(seed * CALLERS + it)) } } }
         schedule.faults.forEach { scheduler.schedule({ recordingFailure { inject(it.fault) } }, it.atMs, TimeUnit.MILLISECONDS) }
         sleepUntil(schedule.lastFaultEndMs + RECOVERY_MS)
         val fromMs = nowMs()
         sleepUntil(fromMs + MEASUREMENT_MS)
         isFinished = true
         callers.forEach { it.join() }
-        return SoakOutcome(checker.requestCount, checker.servedFraction(fromMs), checker.violations() + allFailures())
+        return SoakOutcome(
+            checker.requestCount,
+            checker.servedFraction(fromMs),
+            checker.violations() + allFailures(),
+            workers.lateCopies,
+        )
     }
 
     private fun allFailures(): List<String> =
@@ -179,7 +186,7 @@
         try {
             action()
         } catch (e: RuntimeException) {
-            synchronized(recordedFailures) { recordedFailures += "a scheduled action of the soak failed: $e" }
+            synchronized(recordedFailures) { recordedFailures += "a caller or a scheduled action of the soak failed: $e" }
             Unit
         }
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
@@ -20,7 +20,9 @@
                 val run = SoakRun(seed, folder)
                 val outcome = run.use { it.run() }
                 println("soak seed $seed: ${outcome.requests} requests, served after the faults ${outcome.servedFractionAfterFaults}")
+                println("soak seed $seed: late copies ${outcome.lateCopies}")
                 assertEquals(emptyList(), outcome.violations.take(MAX_SHOWN_VIOLATIONS), "logs in ${folder.path}, faults ${run.faults}")
+                assertEquals(CopyMoment.entries.toSet(), outcome.lateCopies.keys.mapTo(HashSet()) { it.moment }, "moments of late copies")
                 assertTrue(outcome.requests > MIN_REQUESTS, "too few requests were sent: ${outcome.requests}")
                 assertTrue(
                     outcome.servedFractionAfterFaults >= MIN_SERVED_FRACTION,
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
@@ -6,15 +6,29 @@
 import io.monsoonpath.platform.WorkerAction
 import io.monsoonpath.platform.notRunResponse
 import io.monsoonpath.platform.signedResponse
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.locks.LockSupport
+import kotlin.random.Random
 
-/** The execution of [request] by the worker with the id [worker], [atMs] milliseconds after the start of the traffic. */
+/** The signed response of a worker. The [signature] differs for each response. */
+data class WorkerAnswer(
+    val status: Int,
+    val signature: String,
+    val body: String,
+)
+
+/**
+ * The execution of [request] by the worker with the id [worker], [atMs] milliseconds after the start of the traffic.
+ *
+ * [answer] is null if the worker did not write a complete response.
+ */
 class Execution(
     val worker: String,
     val request: ReceivedRequest,
     val atMs: Long,
+    val answer: WorkerAnswer?,
 )
 
 /** A part of a prompt that crashes each worker that begins to answer it. */
@@ -34,9 +48,12 @@
  *
  * Each worker numbers its requests. Of every [FAILURE_CYCLE] requests it handles one in each of these faulty ways: it refuses the request
  * as not run, answers with status 500, truncates the response, resets the connection without a response, sends an extra response
- * (not for streams), or responds late.
+ * (not for streams), responds late, writes a copy of an earlier response after the response, or writes one in front of a response, which
+ * is then an error in every other case. What is written follows from [seed], the worker, the request and the earlier responses on the
+ * connection.
  */
 class SoakWorkers(
+    private val seed: Long,
     private val store: StoreContents,
     private val nowMs: () -> Long,
     private val scheduleAfter: (Long, () -> Unit) -> Unit,
@@ -48,6 +65,10 @@
 
     private val workers = java.util.Collections.synchronizedMap(LinkedHashMap<String, Worker>())
     private val startedCount = AtomicInteger()
+    private val lateCopyCounts = ConcurrentHashMap<CopyKind, Int>()
+
+    /** The number of late copies of each kind that were written. */
+    val lateCopies: Map<CopyKind, Int> get() = lateCopyCounts
 
     /** Every execution of a request by any worker, in no particular order. */
     val executions = ConcurrentLinkedQueue<Execution>()
@@ -61,7 +82,8 @@
     /** Starts a worker and registers it. */
     fun start() {
         val id = "w-${startedCount.incrementAndGet()}"
-        val server = FakeWorker { request, number -> actionFor(id, request, number) }
+        val copies = LateCopies(lateCopyCounts)
+        val server = FakeWorker { request, number -> actionFor(id, request, number, copies) }
         val proxy = Proxy(server.port)
         workers[id] = Worker(server, proxy)
         register(id, "ready", sequence = 1)
@@ -106,29 +128,83 @@
         worker: String,
         request: ReceivedRequest,
         number: Int,
+        copies: LateCopies,
     ): WorkerAction {
+        val random = Random("$seed $worker ${request.id}".hashCode())
         val failureSlot = number % FAILURE_CYCLE
-        if (failureSlot == TURNED_AWAY) return WorkerAction.Write(notRunResponse(request))
-        executions += Execution(worker, request, nowMs())
+        if (failureSlot == TURNED_AWAY) {
+            val refusal = withKeepAlive(notRunResponse(request), random)
+            copies.record(request.connection, ResponseKind.REFUSAL, refusal)
+            return WorkerAction.Write(refusal)
+        }
         if (isFatal(request)) {
+            executions += Execution(worker, request, nowMs(), answer = null)
             recordCrash(worker)
             return WorkerAction.Crash("")
         }
+        val isFailure = failureSlot == FAILED || (failureSlot in COPY_BEFORE && random.nextBoolean())
+        val answer = answerTo(request, "$worker.$number.${request.id}", isFailure)
+        executions += Execution(worker, request, nowMs(), answer.takeUnless { failureSlot == CUT || failureSlot == LOST })
         if (failureSlot == SLOW) LockSupport.parkNanos(SLOW_RESPONSE_NS)
-        val isStream = "/stream/" in request.firstLine
-        val response = if (isStream) streamedResponse(request) else signedResponse(request, bodyOf(request.id))
+        val response = responseText(request, answer, random)
         return when (failureSlot) {
-            FAILED -> WorkerAction.Write(signedResponse(request, "failed", status = "500 Internal Server Error"))
             CUT -> WorkerAction.WriteAndReset(response.dropLast(4))
             LOST -> WorkerAction.WriteAndReset("")
-            DUPLICATED -> WorkerAction.Write(response + if (isStream) "" else signedResponse(request, "an extra answer"))
-            else -> WorkerAction.Write(response)
+            DUPLICATED -> WorkerAction.Write(response + if (isStream(request)) "" else signedResponse(request, "an extra answer"))
+            else -> writeWhole(request.connection, response, answer, failureSlot, copies, random)
+        }
+    }
+
+    private fun writeWhole(
+        connection: Int,
+        response: String,
+        answer: WorkerAnswer,
+        failureSlot: Int,
+        copies: LateCopies,
+        random: Random,
+    ): WorkerAction {
+        val kind = if (answer.status == OK) ResponseKind.SUCCESS else ResponseKind.ERROR
+        if (failureSlot in COPY_BEFORE) {
+            val action = copies.write(connection, response, CopyMoment.BEFORE_RESPONSE, random)
+            copies.record(connection, kind, response)
+            return action
         }
+        copies.record(connection, kind, response)
+        if (failureSlot != COPY_AFTER) return WorkerAction.Write(response)
+        return copies.write(connection, response, CopyMoment.AFTER_RESPONSE, random)
+    }
+
+    private fun isStream(request: ReceivedRequest) = "/stream/" in request.firstLine
+
+    private fun answerTo(
+        request: ReceivedRequest,
+        signature: String,
+        isFailure: Boolean,
+    ): WorkerAnswer =
+        when {
+            isFailure -> WorkerAnswer(INTERNAL_SERVER_ERROR, signature, "failed")
+            isStream(request) -> WorkerAnswer(OK, signature, eventsOf(request.id))
+            else -> WorkerAnswer(OK, signature, bodyOf(request.id))
+        }
+
+    private fun responseText(
+        request: ReceivedRequest,
+        answer: WorkerAnswer,
+        random: Random,
+    ): String {
+        val status = if (answer.status == OK) "200 OK" else "${answer.status} Internal Server Error"
+        val extra = if (isStream(request) && answer.status == OK) "Content-Type: text/event-stream\r\n" else ""
+        return withKeepAlive(signedResponse(request, answer.body, status, extra = extra, signature = answer.signature), random)
     }
 
-    private fun streamedResponse(request: ReceivedRequest): String {
-        val events = eventsOf(request.id)
-        return signedResponse(request, events, extra = "Content-Type: text/event-stream\r\n")
+    /** Returns [response] with a header that keeps the connection, and with its headers in any order, so that a cut copy may lack each. */
+    private fun withKeepAlive(
+        response: String,
+        random: Random,
+    ): String {
+        val head = response.substringBefore("\r\n\r\n").split("\r\n")
+        val headers = (head.drop(1) + "Keep-Alive: timeout=5").shuffled(random)
+        return (head.take(1) + headers).joinToString("\r\n") + "\r\n\r\n" + response.substringAfter("\r\n\r\n")
     }
 
     override fun close() =
@@ -147,6 +223,10 @@
         const val LOST = 26
         const val DUPLICATED = 31
         const val SLOW = 37
+        const val COPY_AFTER = 16
+        val COPY_BEFORE = setOf(10, 15)
+        const val OK = 200
+        const val INTERNAL_SERVER_ERROR = 500
         const val SLOW_RESPONSE_NS = 300_000_000L
     }
 }
