Reject values from outside that could add headers to a call

A backend server that is in error, or another writer of the store, could add headers to the calls of an instance, or elements to a list in one: the handle of a stage's result went into a header of the model call as it was, and the headers of such calls are not validated. A handle with a line end or a comma, sent by a worker, reached the model server as another header or as another handle. Found by a review by reading; it was not seen in a run of the program.

Ruled out: validation of all headers of a call, which would end the request with an exception at the moment it is written, and costs each request.

Change: values are checked where they are decoded.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -171,12 +171,7 @@
         report: PieceReport,
     ) {
         val id = PieceId(RequestId(report.request), report.stage, report.segment)
-        val result =
-            when {
-                report.handle != null -> PieceResult.Completed(report.handle)
-                report.failure != null -> PieceResult.Failed(report.failure)
-                else -> PieceResult.Started
-            }
+        val result = report.toResult()
         val pendingPiece = pending[id]
         // A failure reported by a former owner does not concern the current attempt, but its result is usable.
         if (pendingPiece != null && pendingPiece.owner != from.host && result !is PieceResult.Completed) return
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
@@ -1,6 +1,8 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.gateway.http.isHeaderListElement
 import io.monsoonpath.gateway.stage.PieceFailure
+import io.monsoonpath.gateway.stage.PieceResult
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -88,4 +90,20 @@
     @SerialName("g") val segment: Int,
     @SerialName("h") val handle: String? = null,
     @SerialName("f") val failure: PieceFailure? = null,
-)
+) {
+    /** Returns the result that this reports. A handle that cannot be sent in a list in a header is a failure of its worker. */
+    fun toResult(): PieceResult =
+        when {
+            handle != null ->
+                if (isHeaderListElement(
+                        handle,
+                    )
+                ) {
+                    PieceResult.Completed(handle)
+                } else {
+                    PieceResult.Failed(PieceFailure.WORKER_FAILED)
+                }
+            failure != null -> PieceResult.Failed(failure)
+            else -> PieceResult.Started
+        }
+}
