Take nothing from a peer's list that is older than a complete read

Cause: lists were compared by the newest change that each copy has an item for. A removal before the first read has none, so the older list of a peer whose newest change was an earlier removal looked newer and was taken as a whole, and the watch went on after the removal.

Ruled out: announcing the revision of the read as the newest change. Each start would then make all instances ask the new one for documents that did not change. The revision that a watch without events reports does not count either: the store may have omitted changes up to it.

Change: each copy has the revision up to which it is complete (first page of the last complete read, last event of a watch, or a peer's). An instance asks for what is newer than that; an unknown item up to it was removed; a missing item is gone only if the peer's complete revision covers it. The list carries that revision, by default its newest change, so lists of older processes are read as before. An older process that asks for the list of a newer one can't read the new field where the two revisions differ, and closes the connection.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
@@ -18,8 +18,9 @@
  *
  * @property revision the revision of the source up to which the instance has read the topic
  * @property newestChange the newest revision of a document or a removal that the instance has
- * @property keys the keys of all existing documents; a document of the receiver whose key is absent was removed
+ * @property keys the keys of all existing documents; a document of the receiver up to [completeRevision] whose key is absent was removed
  * @property changed the documents that the receiver does not have in their newest revision
+ * @property completeRevision the revision of the source up to which no document and no removal is missing
  */
 @Serializable
 data class DocumentDelta(
@@ -28,7 +29,14 @@
     val newestChange: Long,
     val keys: List<String>,
     val changed: List<SharedDocument>,
-)
+    val completeRevision: Long = newestChange,
+) {
+    /** Returns whether this may show more than a copy of the topic with the given revisions. */
+    fun isNewerThan(
+        newestChange: Long,
+        completeRevision: Long,
+    ): Boolean = this.newestChange > maxOf(newestChange, completeRevision) || this.completeRevision > completeRevision
+}
 
 /** The local copy of the documents that an instance watches at their source, by topic. */
 interface DocumentReplica {
@@ -41,6 +49,9 @@
     /** Returns the newest revision of a document or a removal of [topic] in this copy, or -1 if there is none. */
     fun newestChangeOf(topic: String): Long
 
+    /** Returns the revision up to which no document and no removal of [topic] is missing in this copy, or -1 before the first read. */
+    fun completeRevisionOf(topic: String): Long
+
     /** Returns how long a response of the source for [topic] has been overdue, in milliseconds, or 0 if none is overdue. */
     fun overdueMs(topic: String): Long
 
@@ -50,7 +61,7 @@
         revision: Long,
     ): DocumentDelta
 
-    /** Merges [delta] from a peer if it has a newer change. */
+    /** Merges what [delta] from a peer shows after the revision up to which this copy is complete. */
     fun merge(delta: DocumentDelta)
 }
 
@@ -60,7 +71,7 @@
  *
  * This covers a source that rejects some instances while keys are withdrawn and backend servers leave, a source that is down while
  * instances restart, and a source that has lost the connection on which it would report a change. Revisions only increase, so the
- * documents of a peer cannot revert newer local ones.
+ * documents of a peer cannot revert newer local ones, and what a peer has shows nothing up to the revision of a complete local copy.
  */
 internal class PeerDocumentSync(
     private val localHost: String,
@@ -86,7 +97,7 @@
         val hostsAhead = replica.topics.mapIndexedNotNull { index, topic -> hostAhead(index, topic)?.let { topic to it } }.toMap()
         for (topic in replica.topics) {
             val host = hostsAhead[topic]?.takeIf { topic in laggingTopics } ?: if (isSourceOverdue(topic)) randomPeer() else null
-            if (host != null) transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, replica.newestChangeOf(topic)))
+            if (host != null) transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, replica.completeRevisionOf(topic)))
         }
         laggingTopics = hostsAhead.keys
     }
@@ -101,9 +112,12 @@
     ): String? =
         membership.liveMembers
             .maxByOrNull { it.documentRevisions.getOrElse(index) { -1 } }
-            ?.takeIf { it.documentRevisions.getOrElse(index) { -1 } > replica.newestChangeOf(topic) }
+            ?.takeIf { it.documentRevisions.getOrElse(index) { -1 } > knownRevisionOf(topic) }
             ?.host
 
+    /** Returns the newest revision up to which this copy of [topic] shows changes or their absence. */
+    private fun knownRevisionOf(topic: String): Long = maxOf(replica.newestChangeOf(topic), replica.completeRevisionOf(topic))
+
     private fun randomPeer(): String? =
         membership.liveMembers
             .map { it.host }
@@ -125,7 +139,7 @@
         from: PeerConnection,
         message: PeerMessage.RequestDocuments,
     ) {
-        if (message.topic !in replica.topics || replica.newestChangeOf(message.topic) <= message.revision) return
+        if (message.topic !in replica.topics || knownRevisionOf(message.topic) <= message.revision) return
         from.send(PeerMessage.SendDocuments(replica.deltaSince(message.topic, message.revision)))
     }
 
@@ -134,14 +148,13 @@
         delta: DocumentDelta,
     ) {
         if (delta.topic !in replica.topics) return
-        val knownRevision = replica.newestChangeOf(delta.topic)
-        if (delta.newestChange <= knownRevision) return
+        if (!delta.isNewerThan(replica.newestChangeOf(delta.topic), replica.completeRevisionOf(delta.topic))) return
         log.line(
             "documents.from-peer",
             "peer" to from.host,
             "topic" to delta.topic,
-            "before" to knownRevision,
-            "revision" to delta.newestChange,
+            "before" to knownRevisionOf(delta.topic),
+            "revision" to maxOf(delta.newestChange, delta.completeRevision),
             "changed" to delta.changed.size,
             "overdueMs" to replica.overdueMs(delta.topic),
         )
