Fail a backend server's response whose head contains a second status line

Found on a path related to errors that were passed on as successes, in the product's own program: a caller could get a 200 where the backend server had answered the stage with an error. A server that writes the beginning of an earlier success once more on a kept HTTP/1 connection, right after that answer or in front of the next one, has its next response read as a part of the copy.

Cause: the HTTP client reads both as one head, with the status of the first and the labels, headers and body of the second. A copy that ends in the reason phrase or in a header value of free text is accepted, and the client drops the reason phrase, so the sender can't see it. HTTP/2 connections have frames and are not affected.

Ruled out: copies that end elsewhere. The codec rejects a status line in a header name, a length or a status code; a copy that ends behind x-request-id names another request; a whole copy when no response is due closes the connection.

Change: a handler behind the HTTP/1 codec of the connections to backend servers fails such a response, which closes the connection.

Evidence: RepeatedBytesTest repeats each length of five earlier answers, at both places, on kept connections, with http:// and h1c:// addresses. BackendSenderTest, BackendFaultsTest, TokenStreamsTest and ArchitectureTest pass.

--- a/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/http/BackendSender.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.app.http
 
+import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.ResponseTimeoutException
 import com.linecorp.armeria.client.SessionProtocolNegotiationException
@@ -15,6 +16,7 @@
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
+import io.monsoonpath.app.client.GUARDED_CLIENTS
 import io.monsoonpath.app.request.Mismatch
 import io.monsoonpath.app.request.RequestMetrics
 import io.monsoonpath.app.request.SendResult
@@ -32,6 +34,7 @@
 internal class BackendSender(
     private val metrics: RequestMetrics,
     private val maxAnswerBytes: Long = DEFAULT_MAX_ANSWER_BYTES,
+    private val clientFactory: ClientFactory = GUARDED_CLIENTS,
 ) : StageSender {
     private val clients = ConcurrentHashMap<String, WebClient>()
 
@@ -85,6 +88,7 @@
     private fun newClient(url: String) =
         WebClient
             .builder(url)
+            .factory(clientFactory)
             .responseTimeoutMillis(0)
             .maxResponseLength(maxAnswerBytes)
             .build()
--- a/app/src/test/kotlin/io/monsoonpath/app/http/BackendSenderTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/BackendSenderTest.kt
@@ -48,7 +48,8 @@
             DynamicTest.dynamicTest(case.name) {
                 ServerSocket(0, 8, InetAddress.getLoopbackAddress()).use { server ->
                     thread(isDaemon = true) { runCatching { while (true) serve(server.accept(), case) } }
-                    val result = runBlocking { BackendSender(RequestMetrics(SimpleMeterRegistry())).send(callTo(server.localPort)) }
+                    val result =
+                        runBlocking { BackendSender(RequestMetrics(SimpleMeterRegistry())).send(callTo(server.localPort, REQUEST_BODY)) }
                     assertEquals(case.isAnswered, result is SendResult.Answered, "$result")
                     if (result is SendResult.Answered) assertEquals(case.body, result.body.decodeToString())
                 }
@@ -73,18 +74,23 @@
         if (case.isReset) connection.setSoLinger(true, 0)
     }
 
-    private fun callTo(port: Int) =
-        StageCall(
-            Exchange(RequestId("r"), "/", ByteArray(0), null, 0, null, { error("the sender does not read the configuration") }),
-            StageSpec(StageId("s"), StageKind.SERVICE, PoolId("p"), "/s"),
-            AttemptId(1),
-            BackendSpec(BackendId("b"), "http://127.0.0.1:$port", PoolId("p"), FailureDomain("z"), coldLoad = 1, fullLoad = 1),
-            REQUEST_BODY.toByteArray(),
-            budgetMs = 5_000,
-        )
-
     private companion object {
         const val REQUEST_BODY = "{}"
         const val WHOLE = "{\"by\":\"b\",\"of\":{}}"
     }
 }
+
+/** Returns the first attempt at the stage `s` of the request [id] with [body], on a backend server at [port] of the loopback address. */
+internal fun callTo(
+    port: Int,
+    body: String,
+    id: String = "r",
+    scheme: String = "http",
+) = StageCall(
+    Exchange(RequestId(id), "/", ByteArray(0), null, 0, null, { error("the sender does not read the configuration") }),
+    StageSpec(StageId("s"), StageKind.SERVICE, PoolId("p"), "/s"),
+    AttemptId(1),
+    BackendSpec(BackendId("b"), "$scheme://127.0.0.1:$port", PoolId("p"), FailureDomain("z"), coldLoad = 1, fullLoad = 1),
+    body.toByteArray(),
+    budgetMs = 5_000,
+)
