Test repeated bytes on connections that carry event streams

Could an error that looks like a stream reach the caller as tokens? Without the handler that rejects a second status line it did: a copy of the beginning of an earlier stream made the response to the next call a stream, and its tokens were passed on.

StutteringServer is a file of its own, as other clients need it. It counts exchanges instead of reading ids, so that requests without an id can be served; the rows of answers and their bounds are the same.

--- a/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
@@ -3,9 +3,15 @@
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.util.EventLoopGroups
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.monsoonpath.app.client.Place
+import io.monsoonpath.app.client.StutteringServer
+import io.monsoonpath.app.client.chunksOf
+import io.monsoonpath.app.client.lengthOf
 import io.monsoonpath.app.client.rejectRepeatedHeads
+import io.monsoonpath.app.client.responseHead
 import io.monsoonpath.app.request.RequestMetrics
 import io.monsoonpath.app.request.SendResult
+import io.monsoonpath.app.request.StageCall
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -15,15 +21,9 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.TestInstance
-import java.io.InputStream
-import java.net.InetAddress
-import java.net.ServerSocket
-import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.test.assertEquals
-import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
 /**
@@ -41,7 +41,6 @@
             .rejectRepeatedHeads()
             .build()
     private val sender = BackendSender(RequestMetrics(SimpleMeterRegistry()), clientFactory = clients)
-    private val reused = AtomicInteger()
 
     @AfterAll
     fun stop() {
@@ -58,22 +57,36 @@
         fun to(id: String) = text.replace(ID, id)
     }
 
-    private enum class Place { AFTER_THE_EARLIER_ANSWER, BEFORE_THE_NEXT_ANSWER }
-
     private val earlier =
         listOf(
-            Response("a success, the id first", head(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, TYPE, lengthOf(BODY)) + BODY, BODY),
-            Response("a success, the id last", head(OK, TYPE, lengthOf(BODY), ATTEMPT_LABEL, STAGE_LABEL, ID_LABEL) + BODY, BODY),
-            Response("a success, the id in the middle", head(OK, ATTEMPT_LABEL, ID_LABEL, lengthOf(BODY), STAGE_LABEL) + BODY, BODY),
-            Response("an error", head(ERROR, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(BODY), ID_LABEL) + BODY),
-            Response("a refusal", head("HTTP/1.1 429 Too Many Requests", lengthOf(BODY)) + BODY),
+            Response("a success, the id first", responseHead(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, TYPE, lengthOf(BODY)) + BODY, BODY),
+            Response("a success, the id last", responseHead(OK, TYPE, lengthOf(BODY), ATTEMPT_LABEL, STAGE_LABEL, ID_LABEL) + BODY, BODY),
+            Response(
+                "a success, the id in the middle",
+                responseHead(OK, ATTEMPT_LABEL, ID_LABEL, lengthOf(BODY), STAGE_LABEL) + BODY,
+                BODY,
+            ),
+            Response("an error", responseHead(ERROR, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(BODY), ID_LABEL) + BODY),
+            Response("a refusal", responseHead("HTTP/1.1 429 Too Many Requests", lengthOf(BODY)) + BODY),
         )
 
     private val next =
         listOf(
-            Response("an error", head(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY),
-            Response("an error in chunks", head(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, CHUNKED) + chunksOf(NEXT_BODY)),
-            Response("a success", head(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY, NEXT_BODY),
+            Response("an error", responseHead(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY),
+            Response("an error in chunks", responseHead(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, CHUNKED) + chunksOf(NEXT_BODY)),
+            Response("a success", responseHead(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY, NEXT_BODY),
+        )
+
+    private val earlierStream =
+        Response("a stream", responseHead(OK, STREAM, CHUNKED, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL) + chunksOf(event("a"), END), "a")
+
+    private val nextAfterStream =
+        listOf(
+            Response(
+                "an error like a stream",
+                responseHead(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, CHUNKED) + chunksOf(event("b"), END),
+            ),
+            Response("a stream", responseHead(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, CHUNKED) + chunksOf(event("b"), END), "b"),
         )
 
     @TestFactory
@@ -81,100 +94,91 @@
         Place.entries.flatMap { place ->
             earlier.flatMap { first ->
                 next.filter { first.body != null || it.body != null }.map { second ->
-                    DynamicTest.dynamicTest(
-                        "${first.name}, once more $place, then ${second.name}",
-                    ) { verifyEachLength(place, first, second) }
+                    DynamicTest.dynamicTest("${first.name}, once more $place, then ${second.name}") {
+                        verifyEachLength(place, first, second) { sender.answerTo(it) }
+                    }
                 }
             }
         }
 
+    @TestFactory
+    fun `a call gets its own stream or a failure`() =
+        Place.entries.flatMap { place ->
+            nextAfterStream.map { second ->
+                DynamicTest.dynamicTest("a stream, once more $place, then ${second.name}") {
+                    verifyEachLength(place, earlierStream, second) { sender.streamOf(it) }
+                }
+            }
+        }
+
+    /** Verifies the second call for each length of a copy of [first]; where the copy ends in a head, the call uses a kept connection. */
     private fun verifyEachLength(
         place: Place,
         first: Response,
         second: Response,
+        send: suspend (StageCall) -> Received,
     ) {
         val faults = ConcurrentLinkedQueue<String>()
+        val reused = AtomicInteger()
         runBlocking(loops.next().asCoroutineDispatcher()) {
             val lengths = 0..first.to(FIRST_ID).length
             lengths.chunked(PARALLEL_CASES).forEach { group ->
-                group.map { length -> async { faultOrNull(place, first, second, length)?.let { faults += it } } }.awaitAll()
+                group
+                    .map { length ->
+                        async {
+                            StutteringServer(threads, place, first.to(FIRST_ID), second.to(SECOND_ID), length).use { server ->
+                                faultOrNull(server.port, first, second, length, send)?.let { faults += it }
+                                if (server.wasReused) reused.incrementAndGet()
+                            }
+                        }
+                    }.awaitAll()
             }
         }
-        val kept = if (place == Place.BEFORE_THE_NEXT_ANSWER) first.to(FIRST_ID).length + 1 else first.to(FIRST_ID).length - BODY.length
-        assertTrue(reused.getAndSet(0) >= kept, "fewer than $kept second calls used a kept connection")
+        val headLength = first.to(FIRST_ID).indexOf("\r\n\r\n")
+        assertTrue(reused.get() >= headLength, "$reused second calls used a kept connection, fewer than $headLength")
         assertTrue(faults.isEmpty(), faults.joinToString("\n"))
     }
 
-    /** Returns what is wrong with the result of the second call if [length] bytes of the answer to the first are repeated, or null. */
+    /** Returns what is wrong with the results of the two calls if [length] bytes of the answer to the first are repeated, or null. */
     private suspend fun faultOrNull(
-        place: Place,
+        port: Int,
         first: Response,
         second: Response,
         length: Int,
-    ): String? =
-        StutteringServer(place, first, second, length).use { server ->
-            val scheme = if (first == earlier[0] && second == next[0]) "http" else "h1c"
-            val firstResult = sender.send(callTo(server.port, REQUEST_BODY, FIRST_ID, scheme))
-            repeat(YIELDS) { yield() }
-            if (first.body == null) assertIs<SendResult.Failed>(firstResult) else assertEquals(first.body, firstResult.bodyOrNull())
-            val result = sender.send(callTo(server.port, REQUEST_BODY, SECOND_ID, scheme))
-            val copy = first.to(FIRST_ID).take(length)
-            when {
-                result is SendResult.Answered && result.bodyOrNull() != second.body -> "passed on ${result.bodyOrNull()} after <$copy>"
-                result is SendResult.NotSent -> "counted as not sent (${result.detail}) after <$copy>"
-                length == 0 && (result is SendResult.Answered) != (second.body != null) -> "$result without a copy"
-                else -> null
-            }
+        send: suspend (StageCall) -> Received,
+    ): String? {
+        val scheme = if (first == earlier[0] && second == next[0]) "http" else "h1c"
+        val before = send(callTo(port, REQUEST_BODY, FIRST_ID, scheme))
+        repeat(YIELDS) { yield() }
+        val received = send(callTo(port, REQUEST_BODY, SECOND_ID, scheme))
+        val copy = first.to(FIRST_ID).take(length)
+        return when {
+            before.isWhole != (first.body != null) -> "${before.result} to the first call"
+            received.isWhole && received.text != second.body -> "passed on ${received.text} after <$copy>"
+            !second.body.orEmpty().startsWith(received.text) -> "passed on ${received.text} of a failure after <$copy>"
+            received.result is SendResult.NotSent -> "counted as not sent after <$copy>"
+            length == 0 && received.isWhole != (second.body != null) -> "${received.result} without a copy"
+            else -> null
         }
+    }
 
-    private fun SendResult.bodyOrNull() = (this as? SendResult.Answered)?.body?.decodeToString()
-
-    /** A backend server that answers over HTTP/1 and repeats the first [length] bytes of [first]. */
-    private inner class StutteringServer(
-        private val place: Place,
-        private val first: Response,
-        private val second: Response,
-        private val length: Int,
-    ) : AutoCloseable {
-        private val server = ServerSocket(0, 8, InetAddress.getLoopbackAddress())
-        private val connections = ConcurrentLinkedQueue<Socket>()
-        val port: Int get() = server.localPort
-
-        init {
-            threads.execute {
-                runCatching {
-                    while (true) {
-                        val connection = server.accept().also { connections += it }
-                        threads.execute { runCatching { connection.use(::serve) } }
-                    }
-                }
-            }
-        }
+    /** What a caller would get: [text], which is complete if the call succeeded. */
+    private class Received(
+        val result: SendResult,
+        val text: String,
+    ) {
+        val isWhole get() = result is SendResult.Answered || result is SendResult.StreamEnded
+    }
 
-        private fun serve(connection: Socket) {
-            val input = connection.getInputStream().buffered()
-            val copy = first.to(FIRST_ID).take(length)
-            var wasUsed = false
-            while (true) {
-                val head = readHead(input)
-                if (head.startsWith("PRI ")) return connection.write(head("HTTP/1.1 400 Bad Request", lengthOf(""), "Connection: close"))
-                input.skipNBytes(REQUEST_BODY.length.toLong())
-                val isFirst = "$REQUEST_ID_HEADER: $FIRST_ID\r\n" in head
-                val answer = if (isFirst) first.to(FIRST_ID) else second.to(SECOND_ID)
-                if (wasUsed) reused.incrementAndGet()
-                when {
-                    isFirst && place == Place.AFTER_THE_EARLIER_ANSWER -> connection.write(answer + copy)
-                    wasUsed && place == Place.BEFORE_THE_NEXT_ANSWER -> connection.write(copy + answer)
-                    else -> connection.write(answer)
-                }
-                wasUsed = true
-            }
-        }
+    private suspend fun BackendSender.answerTo(call: StageCall): Received {
+        val result = send(call)
+        return Received(result, (result as? SendResult.Answered)?.body?.decodeToString().orEmpty())
+    }
 
-        override fun close() {
-            server.close()
-            connections.forEach { it.close() }
-        }
+    private suspend fun BackendSender.streamOf(call: StageCall): Received {
+        val text = StringBuilder()
+        val result = stream(call) { token -> text.append(token.text).let { true } }
+        return Received(result, text.toString())
     }
 
     private companion object {
@@ -189,27 +193,13 @@
         const val BODY = "{\"by\":\"b\"}"
         const val NEXT_BODY = "{\"of\":\"c\"}"
         const val TYPE = "content-type: application/json"
+        const val STREAM = "content-type: text/event-stream"
+        const val END = "data: {\"count\":1}\n\n"
         const val CHUNKED = "transfer-encoding: chunked"
         const val ID_LABEL = "$REQUEST_ID_HEADER: $ID"
         const val STAGE_LABEL = "$STAGE_HEADER: s"
         const val ATTEMPT_LABEL = "$ATTEMPT_HEADER: 1"
 
-        fun lengthOf(body: String) = "content-length: ${body.length}"
-
-        fun chunksOf(body: String) = "${body.length.toString(16)}\r\n$body\r\n0\r\n\r\n"
-
-        fun head(vararg lines: String) = lines.joinToString("\r\n", postfix = "\r\n\r\n")
-
-        fun readHead(input: InputStream): String {
-            val head = StringBuilder()
-            while (!head.endsWith("\r\n\r\n")) {
-                val byte = input.read()
-                check(byte >= 0) { "the connection ended after ${head.length} bytes of a head" }
-                head.append(byte.toChar())
-            }
-            return head.toString()
-        }
-
-        fun Socket.write(text: String) = getOutputStream().write(text.toByteArray())
+        fun event(text: String) = "data: {\"index\":0,\"text\":\"$text\"}\n\n"
     }
 }
