Reject a second status line in what the platform and operator ports send

On the path of backend servers, a part of an earlier response that was written once more made an error a success. The platform client keeps HTTP/1 connections in the same way: an error of the platform counted as a document, or as proof that there is no newer one.

Change: both clients use the factory whose connections fail such a response.

The operator client has no test of its own: it reads the pages of events on a kept connection through the same factory.

Left: a response of the platform names no request, so that a whole copy of an earlier one, written after the next request was sent, is still taken for the response to it.

--- a/app/src/main/kotlin/io/monsoonpath/app/command/OperatorClient.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/command/OperatorClient.kt
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpStatus
+import io.monsoonpath.app.client.GUARDED_CLIENTS
 import io.monsoonpath.app.timeline.EventJson
 import io.monsoonpath.model.EventRecord
 import kotlinx.serialization.SerializationException
@@ -42,7 +43,12 @@
         }
     }
 
-private fun client(address: String) = WebClient.builder("http://$address").responseTimeoutMillis(FETCH_TIMEOUT_MS).build()
+private fun client(address: String) =
+    WebClient
+        .builder("http://$address")
+        .factory(GUARDED_CLIENTS)
+        .responseTimeoutMillis(FETCH_TIMEOUT_MS)
+        .build()
 
 /** Fetches all events that the instances at [addresses] still retain, page by page. */
 internal fun fetchEvents(addresses: List<String>): List<EventRecord> = addresses.flatMap { fetchEventsOf(it) }
--- a/app/src/main/kotlin/io/monsoonpath/app/platform/PlatformClient.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/platform/PlatformClient.kt
@@ -1,9 +1,11 @@
 package io.monsoonpath.app.platform
 
+import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import io.monsoonpath.app.client.GUARDED_CLIENTS
 import io.monsoonpath.coordination.replication.DocumentKind
 import io.monsoonpath.coordination.replication.ReadResult
 import java.util.concurrent.CompletableFuture
@@ -19,10 +21,12 @@
  */
 internal class PlatformClient(
     url: String,
+    clientFactory: ClientFactory = GUARDED_CLIENTS,
 ) : AutoCloseable {
     private val client =
         WebClient
             .builder(url)
+            .factory(clientFactory)
             .responseTimeoutMillis(0)
             .maxResponseLength(2L * MAX_VALUE_BYTES)
             .build()
