--- a/model/src/main/kotlin/io/monsoonpath/model/LruMap.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/LruMap.kt
@@ -25,4 +25,9 @@
         entries[key] = value
         if (entries.size > maxSize) entries.remove(entries.keys.first())
     }
+
+    /** Removes the entry of [key], if there is one. */
+    fun remove(key: K) {
+        entries.remove(key)
+    }
 }
