Send nothing new to backend servers that are leaving or want no requests

Callers could see requests go to a backend server after it had stated in a response that it is leaving, or before the end of the time for which it wanted none, and be refused by it. Cause: neither header was decoded.

The codec decodes both headers; the head of each response of an attempt or a batch call is given to BackendGate, which every choice (attempts, retries, resumed streams, the likely domain, pieces, releases) asks, and which is asked again when a request that waited for a connection is written. A response with 421 is that of another server and says nothing. What runs goes on. A request for which the pool has no server left is refused at once as not run, with a Retry-After made from the first server to come back; pieces that would expire before fail at once. Ruled out: removing such servers from the directory, which follows the store and would list them again.

Log lines with the age of the notice, a counter by kind and two gauges.

Targeted tests of gateway and platform pass.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway
 
+import io.monsoonpath.gateway.choice.BackendGate
 import io.monsoonpath.gateway.choice.BackendLoads
 import io.monsoonpath.gateway.choice.BackendSelector
 import io.monsoonpath.gateway.choice.ColdStartLimiter
@@ -35,6 +36,8 @@
 import io.monsoonpath.model.ClockMs
 import io.monsoonpath.model.FailureDomain
 import io.monsoonpath.model.PoolId
+import io.monsoonpath.policy.backend.Availability
+import io.monsoonpath.policy.backend.BackendNotices
 import io.monsoonpath.policy.batch.StandingQueueDetector
 import io.monsoonpath.policy.deadline.ShutdownAdmission
 import io.monsoonpath.policy.retry.RetryAfterPolicy
@@ -92,7 +95,8 @@
     private val loads = BackendLoads(clock, log)
     private val connectionPools = BackendConnectionPools(loop, clock, ::connectionPoolLimits, metrics, log)
     private val coldStartLimiter = ColdStartLimiter(::fleetView)
-    private val batchSender = HttpBatchSender(connectionPools, codecs.backend, directory, clock, scheduler)
+    private val gate = BackendGate(BackendNotices(settings.hashCode()), clock, log, metrics)
+    private val batchSender = HttpBatchSender(connectionPools, codecs.backend, directory, gate, clock, scheduler)
     val membership =
         Membership(
             loop,
@@ -106,7 +110,7 @@
             settings.capacityMillicores,
         )
     private val localExecutor =
-        LocalPieceExecutor(configuration, directory, batchSender, clock, scheduler, ::isSoleBatcher, log)
+        LocalPieceExecutor(configuration, directory, gate, batchSender, clock, scheduler, ::isSoleBatcher, log)
     private val transport = PeerTransport(loop, settings.peerAddress, log)
     private val pieceExecutor =
         DistributedPieceExecutor(settings.peerAddress, transport, membership, localExecutor, Backlogs(clock), clock, scheduler, log)
@@ -141,7 +145,7 @@
             directory,
             connectionPools,
             loads,
-            BackendSelector(directory, loads, coldStartLimiter, settings.failureDomain) {
+            BackendSelector(directory, loads, coldStartLimiter, gate, settings.failureDomain) {
                 it.coldRequestsPerSecond * settings.coldRateFactor +
                     settings.coldRateAllowance
             },
@@ -165,6 +169,12 @@
         metrics.gauge("monsoonpath_caller_connections") { callerServer.connectionCount }
         metrics.gauge("monsoonpath_quarantines") { crashQuarantine.size }
         metrics.gauge("monsoonpath_buffered_response_bytes") { bufferBudget.usedBytes }
+        metrics.gauge(
+            "monsoonpath_backends_leaving",
+        ) { directory.servers.count { gate.availabilityOf(it, clock.nowMs()) is Availability.Leaving } }
+        metrics.gauge(
+            "monsoonpath_backends_paused",
+        ) { directory.servers.count { gate.availabilityOf(it, clock.nowMs()) is Availability.Paused } }
         metrics.gauge("monsoonpath_members") { membership.liveMembers.size }
         directory.onChange { id ->
             if (directory[id] != null) return@onChange
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendSelector.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendSelector.kt
@@ -8,11 +8,12 @@
 import io.monsoonpath.model.BackendId
 import io.monsoonpath.model.FailureDomain
 
-/** A backend server that was selected for an attempt; [reason] is written to the log. */
+/** A backend server that was selected for an attempt at [selectedAtMs]; [reason] is written to the log. */
 class SelectedBackend(
     val server: BackendServer,
     val load: BackendLoad,
     val reason: String,
+    val selectedAtMs: Long,
 )
 
 /**
@@ -21,14 +22,17 @@
  * Engines cache the parts of prompts that they have processed, so requests that share a part are sent to the same engine: every instance
  * ranks the engines by the same hash of the part and selects the first whose load is not far above the average. In other pools, the
  * server with the fewest attempts per slot is selected, counting those of this instance and those that the server reports. Cold servers
- * receive requests only within their rate limit, and ejected servers only if no other is left.
+ * receive requests only within their rate limit, ejected servers only if no other is left, and servers that the gate keeps requests from
+ * receive none.
  *
+ * @property gate the gate that keeps requests from servers by their own notices
  * @param coldRateLimit returns the requests per second that all instances together may send to one cold server of a pool
  */
 class BackendSelector(
     private val directory: BackendDirectory,
     private val loads: BackendLoads,
     private val coldStartLimiter: ColdStartLimiter,
+    val gate: BackendGate,
     private val ownDomain: FailureDomain,
     private val coldRateLimit: (Pool) -> Double,
 ) {
@@ -39,11 +43,12 @@
         tried: Set<BackendId>,
         nowMs: Long,
     ): SelectedBackend? {
-        val usable = directory.usable(pool.id).filter { it.id !in tried && isWithinColdLimit(it, pool, nowMs) }
+        val usable = directory.usable(pool.id).filter { isSelectable(it, pool, tried, nowMs) }
         val healthy = usable.filterNot { loads.of(it).isEjected(nowMs) }
         val candidates = healthy.ifEmpty { usable }
         if (candidates.isEmpty()) return null
         val selected = if (pool.engine == null) selectLeastLoaded(candidates, nowMs) else selectByPrompt(candidates, parts, nowMs)
+        gate.recordSelected(selected.server, nowMs)
         if (nowMs < selected.server.coldUntilMs) coldStartLimiter.recordRequest(selected.server.id, nowMs)
         return selected
     }
@@ -53,7 +58,7 @@
         pool: Pool,
         tried: Set<BackendId>,
         nowMs: Long,
-    ): Boolean = directory.usable(pool.id).any { it.id !in tried && isWithinColdLimit(it, pool, nowMs) }
+    ): Boolean = directory.usable(pool.id).any { isSelectable(it, pool, tried, nowMs) }
 
     /** Returns the failure domain of the engine that [select] would probably return for the prompt [parts], or null if unknown. */
     fun likelyDomain(
@@ -61,10 +66,17 @@
         parts: List<PromptPart>,
         nowMs: Long,
     ): FailureDomain? {
-        val candidates = directory.usable(pool.id).filterNot { loads.of(it).isEjected(nowMs) }
+        val candidates = directory.usable(pool.id).filter { gate.isAvailable(it, nowMs) && !loads.of(it).isEjected(nowMs) }
         return if (pool.engine == null || candidates.isEmpty()) null else selectByPrompt(candidates, parts, nowMs).server.failureDomain
     }
 
+    private fun isSelectable(
+        server: BackendServer,
+        pool: Pool,
+        tried: Set<BackendId>,
+        nowMs: Long,
+    ) = server.id !in tried && gate.isAvailable(server, nowMs) && isWithinColdLimit(server, pool, nowMs)
+
     private fun isWithinColdLimit(
         server: BackendServer,
         pool: Pool,
@@ -79,7 +91,7 @@
             candidates.minWith(
                 compareBy({ loadScore(it, nowMs) / it.slots.coerceAtLeast(1) }, { if (it.failureDomain == ownDomain) 0 else 1 }, { it.id }),
             )
-        return SelectedBackend(best, loads.of(best), "least loaded of ${candidates.size}")
+        return SelectedBackend(best, loads.of(best), "least loaded of ${candidates.size}", nowMs)
     }
 
     /** Returns the number of attempts at [server], by this instance and by others according to the last report, plus a latency term. */
@@ -113,7 +125,7 @@
             }
         val selected = candidates[index]
         val reason = if (sharedPart == null) "least loaded engine" else "engine for the shared prompt part"
-        return SelectedBackend(selected, loads.of(selected), "$reason, ${eligible.size} of ${candidates.size} below the load limit")
+        return SelectedBackend(selected, loads.of(selected), "$reason, ${eligible.size} of ${candidates.size} below the load limit", nowMs)
     }
 
     /** Returns the last part that other requests may share: the one before the last, which is specific to the request. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Codecs.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/Codecs.kt
@@ -80,6 +80,8 @@
  * @property isSigned whether the response carries the backend server's signature header
  * @property isNotRun whether the backend server states that it did not run the request
  * @property load the load of the backend server, or null if not stated
+ * @property isLeaving whether the backend server states that it is leaving and wants no new requests
+ * @property retryAfter how long the backend server wants no requests, as it states it, or null if not stated
  */
 class ResponseHead(
     val status: Int,
@@ -87,6 +89,8 @@
     val isSigned: Boolean,
     val isNotRun: Boolean,
     val load: ReportedLoad?,
+    val isLeaving: Boolean,
+    val retryAfter: String?,
 )
 
 /** The numbers of running and waiting requests and of slots that a backend server reported in a response. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/FullResponseListener.kt
@@ -28,10 +28,12 @@
  * Collects a complete response of at most [maxBodyBytes] bytes and passes it to [done].
  *
  * @param isReusable returns whether the connection can be used again after the given response
+ * @param onHead called with the head of the response as soon as it has arrived
  */
 class FullResponseListener(
     private val maxBodyBytes: Int,
     private val isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
+    private val onHead: (HttpResponse) -> Unit = {},
     private val done: (ExchangeOutcome) -> Unit,
 ) : ExchangeListener {
     private var response: HttpResponse? = null
@@ -40,6 +42,7 @@
 
     override fun onHead(response: HttpResponse) {
         this.response = response
+        onHead.invoke(response)
     }
 
     override fun onContent(content: ByteBuf) {
@@ -68,6 +71,7 @@
  * @param timeoutMs the time in milliseconds after which the exchange is cancelled
  * @param maxBodyBytes the maximum length of the body; a longer response counts as failed
  * @param isReusable returns whether the connection can be used again after the given response
+ * @param onHead called with the head of the response as soon as it has arrived
  */
 fun ServerConnectionPool.exchange(
     request: OutgoingRequest,
@@ -75,6 +79,7 @@
     maxBodyBytes: Int,
     scheduler: Scheduler,
     isReusable: (ExchangeOutcome.Completed) -> Boolean = { true },
+    onHead: (HttpResponse) -> Unit = {},
     done: (ExchangeOutcome) -> Unit,
 ): Exchange {
     var isFinished = false
@@ -87,7 +92,7 @@
             done(outcome)
         }
     }
-    val exchange = send(request, FullResponseListener(maxBodyBytes, isReusable, complete)).also { sent = it }
+    val exchange = send(request, FullResponseListener(maxBodyBytes, isReusable, onHead, complete)).also { sent = it }
     scheduler.schedule(timeoutMs) {
         if (!isFinished) {
             exchange.cancel()
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/metrics/GatewayMetrics.kt
@@ -44,6 +44,12 @@
         .getOrPut("attempt/$pool/$end") { registry.counter("monsoonpath_attempts", "pool", pool, "end", end) }
         .increment()
 
+    /** Records a notice of a backend server of the given [kind], or a request that was withheld because of one. */
+    fun backendNotice(kind: String) =
+        counters
+            .getOrPut("notice/$kind") { registry.counter("monsoonpath_backend_notices", "kind", kind) }
+            .increment()
+
     /** Registers a gauge called [name] that returns [value] at each scrape. */
     fun gauge(
         name: String,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -96,6 +96,7 @@
     /** Whether the request was written to a connection. */
     var isSent = false
         private set
+    private var isWithheld = false
     private var hasRecordedResponse = false
     private var headAtMs: Long? = null
     private var firstContentAtMs: Long? = null
@@ -140,6 +141,8 @@
     private fun createRequest(): DefaultFullHttpRequest? {
         val remainingMs = remainingMs()
         if (remainingMs <= 0 || !writer.isConnected) return null
+        isWithheld = !services.selector.gate.mayWrite(server, selected.selectedAtMs)
+        if (isWithheld) return null
         isSent = true
         val request = context.request
         val call = CallHead(server, remainingMs, context.workspace?.id, context.rank, handles, resumeAfter)
@@ -190,6 +193,7 @@
     override fun onHead(response: HttpResponse) {
         val decoded = services.codec.decode(response)
         head = decoded
+        services.selector.gate.recordHead(server, decoded, selected.selectedAtMs)
         isFramed = isFramed(response)
         headAtMs = services.clock.nowMs()
         // The head of a rejection decides alone; nothing of a rejection is relayed.
@@ -303,7 +307,8 @@
             if (!isProven && failure.isConnectionLoss) unproven?.let(services.crashes.detector::recordLoss)
             return endLost(failure.name)
         }
-        end(AttemptOutcome.LOST, failure.name) { onResult(AttemptResult.NotRun(wasSent = false)) }
+        val outcome = if (isWithheld) AttemptOutcome.NEUTRAL else AttemptOutcome.LOST
+        end(outcome, if (isWithheld) "withheld" else failure.name) { onResult(AttemptResult.NotRun(wasSent = false)) }
     }
 
     private fun endLost(detail: String) =
@@ -321,6 +326,7 @@
         if (!isProven) unproven?.let(services.crashes.detector::recordEnd)
         if (!hasRecordedResponse) selected.load.pendingPromptTokens -= promptTokens
         services.loads.recordEnd(server, selected.load, outcome)
+        services.selector.gate.recordEnd(server, selected.selectedAtMs)
         services.metrics.attemptEnded(context.pool.value, outcome.name)
         services.log.line(
             "attempt.ended",
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -183,10 +183,7 @@
         if (nowMs() >= context.deadlineAtMs) return handleDeadline()
         val pool = context.table.poolOf(context.pool)
         val selected = pool?.let { services.selector.select(it, context.head.promptParts, triedBackends, nowMs()) }
-        if (selected == null) {
-            refuse(Refusal.NO_BACKEND)
-            return
-        }
+        if (selected == null) return refuseWithoutBackend()
         triedBackends += selected.server.id
         sentAtMs = nowMs()
         services.crashes.quarantine.recordSend(context.head.sharedPartIds)
@@ -248,7 +245,24 @@
         // An attempt that reached no backend server adds no load, so it does not consume the retry budget.
         val canRetryElsewhere =
             notRunAttempts <= MAX_NOT_RUN_ATTEMPTS && (!result.wasSent || services.retryBudgets.of(context.pool).tryAcquire())
-        if (canRetryElsewhere) startNextAttempt() else refuse(Refusal.NO_BACKEND)
+        if (canRetryElsewhere) startNextAttempt() else refuseWithoutBackend()
+    }
+
+    /** Refuses the request because no backend server can take it, until the first of those that want no requests now takes some again. */
+    private fun refuseWithoutBackend() {
+        val withheld = services.selector.gate.withheldOf(services.directory.usable(context.pool), nowMs())
+        if (withheld.count > 0) {
+            services.log.line(
+                "request.no-backend",
+                "request" to id,
+                "pool" to context.pool,
+                "leaving" to withheld.leavingCount,
+                "paused" to withheld.pausedCount,
+                "oldestNoticeMs" to withheld.oldestNoticeMs,
+                "waitMs" to withheld.waitMs,
+            )
+        }
+        refuse(Refusal.NO_BACKEND, withheld.waitMs)
     }
 
     private fun handleMayHaveRun(result: AttemptResult.MayHaveRun) {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
@@ -1,10 +1,12 @@
 package io.monsoonpath.gateway.stage
 
 import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.choice.BackendGate
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.directory.BackendServer
 import io.monsoonpath.gateway.http.BackendCodec
 import io.monsoonpath.gateway.http.BackendConnectionPools
+import io.monsoonpath.gateway.http.ExchangeFailure
 import io.monsoonpath.gateway.http.ExchangeOutcome
 import io.monsoonpath.gateway.http.OutgoingRequest
 import io.monsoonpath.gateway.http.exchange
@@ -22,6 +24,7 @@
     private val connectionPools: BackendConnectionPools,
     private val codec: BackendCodec,
     private val directory: BackendDirectory,
+    private val gate: BackendGate,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
 ) : BatchSender {
@@ -34,13 +37,24 @@
         onSent: () -> Unit,
         done: (BatchOutcome) -> Unit,
     ) {
+        val selectedAtMs = clock.nowMs()
+        gate.recordSelected(worker, selectedAtMs)
         val call =
             OutgoingRequest.Deferred {
+                if (!gate.mayWrite(worker, selectedAtMs)) return@Deferred null
                 onSent()
                 codec.encodeBatch(worker, pieces, clock.nowMs())
             }
         val maxBodyBytes = MAX_OTHER_BYTES + MAX_RESULT_BYTES * pieces.size
-        connectionPools.poolFor(worker).exchange(call, timeoutMs, maxBodyBytes, scheduler, { isRecognizable(it, pieces.size) }) {
+        connectionPools.poolFor(worker).exchange(
+            call,
+            timeoutMs,
+            maxBodyBytes,
+            scheduler,
+            isReusable = { isRecognizable(it, pieces.size) },
+            onHead = { gate.recordHead(worker, codec.decode(it), selectedAtMs) },
+        ) {
+            gate.recordEnd(worker, selectedAtMs)
             done(read(it, pieces.size))
         }
     }
@@ -61,6 +75,8 @@
         count: Int,
     ): BatchOutcome =
         when (outcome) {
+            // The gate has kept the call from the worker.
+            is ExchangeOutcome.Failed if outcome.failure == ExchangeFailure.EXPIRED -> BatchOutcome.Rejected
             is ExchangeOutcome.Failed -> BatchOutcome.Lost(outcome.failure.name)
             is ExchangeOutcome.TimedOut -> BatchOutcome.Lost("no answer within ${outcome.timeoutMs} ms")
             is ExchangeOutcome.Completed -> {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/LocalPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/LocalPieceExecutor.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.gateway.stage
 
 import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.choice.BackendGate
 import io.monsoonpath.gateway.config.ConfigurationHolder
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.log.DecisionLog
@@ -16,6 +17,7 @@
 class LocalPieceExecutor(
     private val configuration: ConfigurationHolder,
     private val directory: BackendDirectory,
+    private val gate: BackendGate,
     private val sender: BatchSender,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
@@ -62,6 +64,7 @@
                 pool,
                 { configuration.current?.poolOf(pool)?.batching },
                 directory,
+                gate,
                 sender,
                 clock,
                 scheduler,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
@@ -1,6 +1,7 @@
 package io.monsoonpath.gateway.stage
 
 import io.monsoonpath.gateway.Scheduler
+import io.monsoonpath.gateway.choice.BackendGate
 import io.monsoonpath.gateway.config.BatchLimits
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.directory.BackendServer
@@ -57,6 +58,7 @@
     private val pool: PoolId,
     private val limits: () -> BatchLimits?,
     private val directory: BackendDirectory,
+    private val gate: BackendGate,
     private val sender: BatchSender,
     private val clock: ClockMs,
     private val scheduler: Scheduler,
@@ -73,6 +75,9 @@
     private val queue = BatchQueue<PendingPiece>(minDomainWaitMs = DOMAIN_WAIT_MS)
     private val workers = HashMap<BackendId, WorkerLoad>()
 
+    /** When the next [dispatch] for a worker that the gate lets return is scheduled. */
+    private var nextReturnAtMs = Long.MAX_VALUE
+
     fun add(
         pieces: List<Piece>,
         done: (PieceId, PieceResult) -> Unit,
@@ -94,10 +99,13 @@
         queue.removeRequest(request.value)
     }
 
-    /** Releases the results identified by [handles]; those of removed workers no longer exist and are skipped. */
+    /**
+     * Releases the results identified by [handles]. Those of removed workers no longer exist and are skipped, as are those of workers that
+     * want no requests, which expire.
+     */
     fun release(handles: List<String>) {
         for ((worker, workerHandles) in handles.groupBy(sender::workerOf)) {
-            if (worker == null) continue
+            if (worker == null || !gate.isAvailable(worker, clock.nowMs())) continue
             workerHandles.forEach { workers[worker.id]?.removeResult(it) }
             sender.release(worker, workerHandles)
         }
@@ -107,18 +115,31 @@
     /** Returns the time in milliseconds that the workers need for queued and expected pieces that can still start in time. */
     fun backlogMs(): Long {
         val limits = limits() ?: return 0
-        val workerCount = directory.usable(pool).size
-        if (workerCount == 0) return if (queue.size == 0) 0 else NO_WORKER_BACKLOG_MS
+        val nowMs = clock.nowMs()
+        val listed = directory.usable(pool)
+        if (listed.isEmpty()) return if (queue.size == 0) 0 else NO_WORKER_BACKLOG_MS
+        val workerCount = listed.count { gate.isAvailable(it, nowMs) }
+        if (workerCount == 0) return gate.earliestAvailableAtMs(listed, nowMs)?.minus(nowMs) ?: NO_WORKER_BACKLOG_MS
         val perPieceMs = limits.callMs / limits.maxPieces + limits.pieceMs
-        return (queue.backlog(clock.nowMs()) * perPieceMs / (workerCount * limits.slots)).toLong()
+        return (queue.backlog(nowMs) * perPieceMs / (workerCount * limits.slots)).toLong()
     }
 
     /** Fails late pieces and sends queued ones to free workers, fastest first. */
     fun dispatch() {
         val limits = limits() ?: return
         val nowMs = clock.nowMs()
-        val usable = directory.usable(pool)
-        val dropped = queue.removeExpired(nowMs) + queue.removeStarved(nowMs, STARVATION_MS, usable.size * limits.maxPieces)
+        val listed = directory.usable(pool)
+        val (usable, withheld) = listed.partition { gate.isAvailable(it, nowMs) }
+        // If no worker is available, pieces that would be late when the first one is again are late already.
+        val nextStartMs =
+            if (usable.isEmpty() &&
+                withheld.isNotEmpty()
+            ) {
+                gate.earliestAvailableAtMs(withheld, nowMs) ?: Long.MAX_VALUE
+            } else {
+                nowMs
+            }
+        val dropped = queue.removeExpired(nextStartMs) + queue.removeStarved(nowMs, STARVATION_MS, usable.size * limits.maxPieces)
         dropped.forEach { it.item.done(it.item.piece.id, PieceResult.Failed(PieceFailure.LATE)) }
         workers.keys.retainAll { directory[it] != null }
         usable
@@ -126,6 +147,21 @@
             .filter { (_, load) -> load.isFree(nowMs, limits.slots) }
             .sortedBy { (_, load) -> load.slowness }
             .forEach { (worker, load) -> sendBatch(worker, load, limits, nowMs) }
+        scheduleReturn(withheld, nowMs)
+    }
+
+    /** Schedules a [dispatch] for the time at which the first of the [withheld] workers is available again. */
+    private fun scheduleReturn(
+        withheld: List<BackendServer>,
+        nowMs: Long,
+    ) {
+        val returnsAtMs = gate.earliestAvailableAtMs(withheld, nowMs) ?: return
+        if (queue.size == 0 || returnsAtMs >= nextReturnAtMs) return
+        nextReturnAtMs = returnsAtMs
+        scheduler.schedule(returnsAtMs - nowMs) {
+            nextReturnAtMs = Long.MAX_VALUE
+            dispatch()
+        }
     }
 
     private fun sendBatch(
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/stage/PoolBatcherTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/stage/PoolBatcherTest.kt
@@ -1,16 +1,20 @@
 package io.monsoonpath.gateway.stage
 
 import io.monsoonpath.gateway.VirtualTimeScheduler
+import io.monsoonpath.gateway.choice.BackendGate
 import io.monsoonpath.gateway.config.BatchLimits
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.directory.BackendServer
 import io.monsoonpath.gateway.directory.BackendState
+import io.monsoonpath.gateway.http.ResponseHead
 import io.monsoonpath.gateway.log.DecisionLog
+import io.monsoonpath.gateway.metrics.GatewayMetrics
 import io.monsoonpath.model.BackendId
 import io.monsoonpath.model.FailureDomain
 import io.monsoonpath.model.PoolId
 import io.monsoonpath.model.RequestId
+import io.monsoonpath.policy.backend.BackendNotices
 import java.io.ByteArrayOutputStream
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -68,7 +72,8 @@
         )
     private val results = ArrayList<Pair<Int, PieceResult>>()
     private var isSoleBatcher = true
-    private val batcher = PoolBatcher(POOL, { limits }, directory, sender, { time.nowMs }, time, { isSoleBatcher }, log)
+    private val gate = BackendGate(BackendNotices(seed = 1), { time.nowMs }, log, GatewayMetrics())
+    private val batcher = PoolBatcher(POOL, { limits }, directory, gate, sender, { time.nowMs }, time, { isSoleBatcher }, log)
 
     private fun worker(name: String) =
         directory.put(
@@ -86,6 +91,71 @@
         List(count) { Piece(PieceId(RequestId(request), 0, it), POOL, input, resultBytes, null, latestStartMs, expiresAtMs = 20_000) },
     ) { id, result -> results += id.segment to result }
 
+    /** Records a response of the worker called [name] that refuses with [retryAfter], or states that it is leaving if that is null. */
+    private fun notice(
+        name: String,
+        retryAfter: String?,
+    ) = gate.recordHead(
+        checkNotNull(directory[BackendId(name)]),
+        ResponseHead(503, null, isSigned = false, isNotRun = true, load = null, isLeaving = retryAfter == null, retryAfter = retryAfter),
+        time.nowMs,
+    )
+
+    @Test
+    fun `pieces go to no worker that is leaving or wants none`() {
+        listOf("a", "b", "c").forEach(::worker)
+        notice("a", null)
+        notice("b", "60")
+        add(2)
+        assertEquals(listOf("c"), sender.calls.map { it.worker.id.value })
+    }
+
+    @Test
+    fun `pieces for which no worker can be available in time fail at once`() {
+        val cases = listOf(null to 1, "60" to 1, "5" to 0)
+        for ((retryAfter, failedCount) in cases) {
+            results.clear()
+            directory.remove(BackendId("a"), "test")
+            directory.put(
+                BackendServer(BackendId("a"), POOL, Address("10.0.0.1", 80), FailureDomain("z"), 1, BackendState.READY, 0, time.nowMs + 2),
+                revision = 1,
+            )
+            notice("a", retryAfter)
+            add(1)
+            assertEquals(failedCount, results.count { it.second == PieceResult.Failed(PieceFailure.LATE) }, "retryAfter $retryAfter")
+            assertEquals(0, sender.calls.size)
+            time.advance(time.nowMs + 1)
+        }
+    }
+
+    @Test
+    fun `a queued piece is sent when the wait of the worker is over`() {
+        worker("a")
+        notice("a", "1")
+        add(1)
+        time.advance(999)
+        assertEquals(0, sender.calls.size)
+        time.advance(1_250)
+        assertEquals(1, sender.calls.size)
+    }
+
+    @Test
+    fun `the backlog of a pool that wants no pieces is the time until it does`() {
+        worker("a")
+        notice("a", "4")
+        assertTrue(batcher.backlogMs() in 4_000..5_000, "${batcher.backlogMs()}")
+        notice("a", null)
+        assertTrue(batcher.backlogMs() > 0)
+    }
+
+    @Test
+    fun `results of a worker that wants no requests are not released`() {
+        worker("a")
+        notice("a", "4")
+        batcher.release(listOf("a/h"))
+        assertEquals(0, sender.released.size)
+    }
+
     @Test
     fun `a free worker receives queued pieces at once and later pieces are batched`() {
         worker("a")
