Reject white space before the colon of a response header

Callers could get a success where their server had answered with an error: Netty takes a status line that follows the name of a header and a space for a header without a colon, so no status line was found within the head.

Evidence: the new case of BrokenCopyTest, 24 bytes of a copy before the response, failed before (1 of 22 cases): 200 with the id, the signature and the body of the 500. All 22 pass now. Found by ServerConnectionFuzzTest.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.util.AsciiString
 
 /**
  * Decodes the responses on a connection to a server.
@@ -27,7 +28,18 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = method() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
+    /** Rejects white space before a colon: Netty accepts a status line after the name of a header as such a header without a colon. */
+    override fun splitHeaderName(
+        sb: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        require(sb[start + length] == COLON) { "a header name is followed by the byte ${sb[start + length]} instead of a colon" }
+        return super.splitHeaderName(sb, start, length)
+    }
+
     private companion object {
+        const val COLON = ':'.code.toByte()
         const val MAX_HEADER_BYTES = 32 * 1024
         const val MAX_CHUNK_BYTES = 16 * 1024
     }
