Use no connection again on which a server has refused a request

A request could be taken for refused although it ran: parts of two copies of an earlier refusal made a refusal that names no request.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -184,7 +184,7 @@
         return when {
             decoded.requestId == context.head.id -> ResponseOwner.THIS_REQUEST
             decoded.requestId != null -> ResponseOwner.OTHER_REQUEST
-            // Servers that refuse name no request, and their connections are not kept, so this is no copy of an earlier refusal.
+            // Servers that are full name no request. Connections are not kept after refusals, so this is no copy of an earlier one.
             decoded.isRejection -> ResponseOwner.THIS_REQUEST
             else -> ResponseOwner.UNKNOWN
         }
@@ -236,8 +236,11 @@
     /** Whether this response is an error, of which nothing may follow the part of a response that the caller has received. */
     private fun isErrorAfterStart() = isContinuation && head?.status !in SUCCESS_STATUS
 
-    /** A response that does not name its request could not be told from a later copy of it, so its connection is not used again. */
-    override fun isReusable(): Boolean = head?.requestId == context.head.id
+    /**
+     * A response that does not name its request could not be told from a later copy of it, nor a refusal from parts of copies of earlier
+     * refusals, so its connection is not used again.
+     */
+    override fun isReusable(): Boolean = head?.let { it.requestId == context.head.id && !it.isRejection } == true
 
     private fun awaitDrainIfCongested(): Boolean {
         if (!writer.isCongested) return false
