--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -22,7 +22,7 @@
  * The connection is reused only if the request was sent completely and the response was complete, had a length or was chunked, and was
  * the only one. Extra bytes would be taken for a part of the next response, whether or not they are one: any byte after the response,
  * or while the connection is idle, ends its use, and a head that contains another one is malformed. A response to an earlier request is
- * skipped.
+ * skipped. On a connection that was used before, a response of [ResponseOwner.UNKNOWN] is malformed, since it may be a late copy.
  *
  * A response without a length ends when the connection is closed. It is complete only if the connection was not reset and the request had
  * been written completely: when a write fails, the channel closes without an error that tells a reset from an end.
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
@@ -94,15 +94,8 @@
     /** Returns the result that this reports. A handle that cannot be sent in a list in a header is a failure of its worker. */
     fun toResult(): PieceResult =
         when {
-            handle != null ->
-                if (isHeaderListElement(
-                        handle,
-                    )
-                ) {
-                    PieceResult.Completed(handle)
-                } else {
-                    PieceResult.Failed(PieceFailure.WORKER_FAILED)
-                }
+            handle != null && isHeaderListElement(handle) -> PieceResult.Completed(handle)
+            handle != null -> PieceResult.Failed(PieceFailure.WORKER_FAILED)
             failure != null -> PieceResult.Failed(failure)
             else -> PieceResult.Started
         }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/PoolBatcher.kt
@@ -131,14 +131,8 @@
         val listed = directory.usable(pool)
         val (usable, withheld) = listed.partition { gate.isAvailable(it, nowMs) }
         // If no worker is available, pieces that would be late when the first one is again are late already.
-        val nextStartMs =
-            if (usable.isEmpty() &&
-                withheld.isNotEmpty()
-            ) {
-                gate.earliestAvailableAtMs(withheld, nowMs) ?: Long.MAX_VALUE
-            } else {
-                nowMs
-            }
+        val isAnyAvailable = usable.isNotEmpty() || withheld.isEmpty()
+        val nextStartMs = if (isAnyAvailable) nowMs else gate.earliestAvailableAtMs(withheld, nowMs) ?: Long.MAX_VALUE
         val dropped = queue.removeExpired(nextStartMs) + queue.removeStarved(nowMs, STARVATION_MS, usable.size * limits.maxPieces)
         dropped.forEach { it.item.done(it.item.piece.id, PieceResult.Failed(PieceFailure.LATE)) }
         workers.keys.retainAll { directory[it] != null }
