Close a connection on which a release of stage results was refused

What callers would see: a stage call that ran is reported as not executed, and its work is done once more.

Cause: a refusal of a busy server names no request. After the refusal of a release the connection was kept, so a second copy of it that the server sends late was taken for the response to the next batch call.

Ruled out: copies of accepted releases. They are read as a success without results, that is, as lost, which is never told as "not run".

Change: the connection is used again only after a status of 200, as after batch calls.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/stage/HttpBatchSender.kt
@@ -18,7 +18,7 @@
  *
  * Responses to batch calls carry no id, and a worker may send a second copy of a response when the connection is already used for the next
  * call. Handles are never issued twice, so a response with a handle that was received before is such a copy. A response without handles
- * could not be recognized, so its connection is not used again.
+ * could not be recognized, so its connection is not used again; neither is one on which a release was refused.
  */
 class HttpBatchSender(
     private val connectionPools: BackendConnectionPools,
@@ -99,7 +99,14 @@
     ) {
         // The outcome is ignored: after a lost release, the worker frees the memory when the result expires.
         val call = OutgoingRequest.Ready(codec.encodeRelease(worker, handles))
-        connectionPools.poolFor(worker).exchange(call, RELEASE_TIMEOUT_MS, MAX_OTHER_BYTES, scheduler) { }
+        connectionPools.poolFor(worker).exchange(
+            call,
+            RELEASE_TIMEOUT_MS,
+            MAX_OTHER_BYTES,
+            scheduler,
+            // A second copy of a refusal would be taken for that of the next call.
+            isReusable = { codec.decode(it.response).status == OK },
+        ) { }
     }
 
     private companion object {
