--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendLoads.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/choice/BackendLoads.kt
@@ -39,7 +39,7 @@
         internal set
 
     /** The number of prompt tokens of the running attempts that have not received a first byte. */
-    var pendingPromptTokens = 0
+    var pendingPromptTokens = 0L
         internal set
 
     /** The smoothed time to the first byte of an answer, in milliseconds; 0 before the first answer. */
