--- a/app/src/test/kotlin/io/monsoonpath/app/client/StutteringServer.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/client/StutteringServer.kt
@@ -12,17 +12,17 @@
 internal enum class Place { AFTER_THE_EARLIER_RESPONSE, BEFORE_THE_NEXT_RESPONSE }
 
 /**
- * A server that responds over HTTP/1 with [first] to its first request and with [second] to each later one, and repeats the first [length]
- * characters of [first] at [place] on the connection of the first request.
+ * A server that responds over HTTP/1 with [first] to its first request and with [second] to each later one, and writes [copy], a part of
+ * an earlier response, at [place] on the connection of the first request.
  */
 internal class StutteringServer(
     private val threads: Executor,
     private val place: Place,
     private val first: String,
     private val second: String,
-    private val length: Int,
+    private val copy: String,
+    private val server: ServerSocket = ServerSocket(0, 8, InetAddress.getLoopbackAddress()),
 ) : AutoCloseable {
-    private val server = ServerSocket(0, 8, InetAddress.getLoopbackAddress())
     private val connections = ConcurrentLinkedQueue<Socket>()
     private val exchanges = AtomicInteger()
 
@@ -47,7 +47,6 @@
 
     private fun serve(connection: Socket) {
         val input = connection.getInputStream().buffered()
-        val copy = first.take(length)
         var wasUsed = false
         while (true) {
             val head = readHead(input)
--- a/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
@@ -24,6 +24,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /**
@@ -48,12 +49,24 @@
         threads.shutdownNow()
     }
 
-    /** An answer to the request whose id replaces [ID] in [text]; [body] is what a caller may get of it, or null for an error. */
+    /**
+     * An answer to the request whose id replaces [ID] in [text]; [body] is what a caller may get of it, or null for an error.
+     *
+     * @property repeated the answer of which a part is written once more
+     * @property isMalformed whether the connection must not be kept
+     */
     private class Response(
         val name: String,
         val text: String,
         val body: String? = null,
+        private val repeated: String = text,
+        val isMalformed: Boolean = false,
     ) {
+        val copyable = repeated.replace(ID, FIRST_ID)
+
+        /** The length of a copy that must not end the connection: its head, or if this is malformed, the status line and the next line. */
+        val keptLength = if (repeated == text) copyable.indexOf("\r\n\r\n") else copyable.indexOf("\r\n", OK.length + 2)
+
         fun to(id: String) = text.replace(ID, id)
     }
 
@@ -68,11 +81,24 @@
             ),
             Response("an error", responseHead(ERROR, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(BODY), ID_LABEL) + BODY),
             Response("a refusal", responseHead("HTTP/1.1 429 Too Many Requests", lengthOf(BODY)) + BODY),
+            Response("a success, a header without a value", success("via:", "age: "), BODY),
+            Response("a success, a space before a colon in the copy", success(), BODY, repeated = success("via : v")),
+            Response("a success, a tab before a colon in the copy", success(), BODY, repeated = success("via\t: v")),
+            Response("a success, a line without a colon in the copy", success(), BODY, repeated = success("via v")),
         )
 
+    private val malformed =
+        listOf("via : v", "via\t: v", "via v", "via", " : v").map { line ->
+            Response("a success with the line <$line>", success(line), isMalformed = true)
+        }
+
     private val next =
         listOf(
             Response("an error", responseHead(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY),
+            Response(
+                "an error whose reason has a colon",
+                responseHead("$ERROR: c", ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY,
+            ),
             Response("an error in chunks", responseHead(ERROR, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, CHUNKED) + chunksOf(NEXT_BODY)),
             Response("a success", responseHead(OK, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(NEXT_BODY)) + NEXT_BODY, NEXT_BODY),
         )
@@ -92,8 +118,8 @@
     @TestFactory
     fun `a call gets its own answer or a failure`() =
         Place.entries.flatMap { place ->
-            earlier.flatMap { first ->
-                next.filter { first.body != null || it.body != null }.map { second ->
+            (earlier + malformed).flatMap { first ->
+                next.filter { first.body != null || first.isMalformed || it.body != null }.map { second ->
                     DynamicTest.dynamicTest("${first.name}, once more $place, then ${second.name}") {
                         verifyEachLength(place, first, second) { sender.answerTo(it) }
                     }
@@ -121,12 +147,13 @@
         val faults = ConcurrentLinkedQueue<String>()
         val reused = AtomicInteger()
         runBlocking(loops.next().asCoroutineDispatcher()) {
-            val lengths = 0..first.to(FIRST_ID).length
+            val lengths = 0..first.copyable.length
             lengths.chunked(PARALLEL_CASES).forEach { group ->
                 group
                     .map { length ->
                         async {
-                            StutteringServer(threads, place, first.to(FIRST_ID), second.to(SECOND_ID), length).use { server ->
+                            val copy = first.copyable.take(length)
+                            StutteringServer(threads, place, first.to(FIRST_ID), second.to(SECOND_ID), copy).use { server ->
                                 faultOrNull(server.port, first, second, length, send)?.let { faults += it }
                                 if (server.wasReused) reused.incrementAndGet()
                             }
@@ -134,8 +161,11 @@
                     }.awaitAll()
             }
         }
-        val headLength = first.to(FIRST_ID).indexOf("\r\n\r\n")
-        assertTrue(reused.get() >= headLength, "$reused second calls used a kept connection, fewer than $headLength")
+        if (first.isMalformed) {
+            assertEquals(0, reused.get(), "second calls on a connection with a malformed response")
+        } else {
+            assertTrue(reused.get() >= first.keptLength, "$reused second calls used a kept connection, fewer than ${first.keptLength}")
+        }
         assertTrue(faults.isEmpty(), faults.joinToString("\n"))
     }
 
@@ -151,13 +181,13 @@
         val before = send(callTo(port, REQUEST_BODY, FIRST_ID, scheme))
         repeat(YIELDS) { yield() }
         val received = send(callTo(port, REQUEST_BODY, SECOND_ID, scheme))
-        val copy = first.to(FIRST_ID).take(length)
+        val copy = first.copyable.take(length)
         return when {
             before.isWhole != (first.body != null) -> "${before.result} to the first call"
             received.isWhole && received.text != second.body -> "passed on ${received.text} after <$copy>"
             !second.body.orEmpty().startsWith(received.text) -> "passed on ${received.text} of a failure after <$copy>"
             received.result is SendResult.NotSent -> "counted as not sent after <$copy>"
-            length == 0 && received.isWhole != (second.body != null) -> "${received.result} without a copy"
+            (length == 0 || first.isMalformed) && received.isWhole != (second.body != null) -> "${received.result} without a copy"
             else -> null
         }
     }
@@ -200,6 +230,9 @@
         const val STAGE_LABEL = "$STAGE_HEADER: s"
         const val ATTEMPT_LABEL = "$ATTEMPT_HEADER: 1"
 
+        /** Returns a success with [lines] before the other headers. */
+        fun success(vararg lines: String) = responseHead(OK, *lines, ID_LABEL, STAGE_LABEL, ATTEMPT_LABEL, lengthOf(BODY)) + BODY
+
         fun event(text: String) = "data: {\"index\":0,\"text\":\"$text\"}\n\n"
     }
 }
--- a/app/src/test/kotlin/io/monsoonpath/app/platform/PlatformClientTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/platform/PlatformClientTest.kt
@@ -56,7 +56,7 @@
         val accepted =
             runBlocking(loops.next().asCoroutineDispatcher()) {
                 (0 until first.indexOf("\r\n\r\n")).filter { length ->
-                    StutteringServer(threads, place, first, ERROR, length).use { server -> isErrorAccepted(server) }
+                    StutteringServer(threads, place, first, ERROR, first.take(length)).use { server -> isErrorAccepted(server) }
                 }
             }
         assertEquals(emptyList(), accepted.map { first.take(it) })
