Share the clients of the two tests of repeated bytes

RepeatedBytesTest and PlatformClientTest set up the same client factory on one event loop and ran on its thread in the same way. Both use GuardedClients now; no check is changed.

--- a/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/http/RepeatedBytesTest.kt
@@ -1,18 +1,15 @@
 package io.monsoonpath.app.http
 
-import com.linecorp.armeria.client.ClientFactory
-import com.linecorp.armeria.common.util.EventLoopGroups
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.monsoonpath.app.client.GuardedClients
 import io.monsoonpath.app.client.Place
 import io.monsoonpath.app.client.StutteringServer
 import io.monsoonpath.app.client.chunksOf
 import io.monsoonpath.app.client.lengthOf
-import io.monsoonpath.app.client.rejectRepeatedHeads
 import io.monsoonpath.app.client.responseHead
 import io.monsoonpath.app.request.RequestMetrics
 import io.monsoonpath.app.request.SendResult
 import io.monsoonpath.app.request.StageCall
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
@@ -34,14 +31,8 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class RepeatedBytesTest {
     private val threads = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
-    private val loops = EventLoopGroups.newEventLoopGroup(1, "backends")
-    private val clients =
-        ClientFactory
-            .builder()
-            .workerGroup(loops, true)
-            .rejectRepeatedHeads()
-            .build()
-    private val sender = BackendSender(RequestMetrics(SimpleMeterRegistry()), clientFactory = clients)
+    private val clients = GuardedClients("backends")
+    private val sender = BackendSender(RequestMetrics(SimpleMeterRegistry()), clientFactory = clients.factory)
 
     @AfterAll
     fun stop() {
@@ -146,7 +137,7 @@
     ) {
         val faults = ConcurrentLinkedQueue<String>()
         val reused = AtomicInteger()
-        runBlocking(loops.next().asCoroutineDispatcher()) {
+        runBlocking(clients.dispatcher) {
             val lengths = 0..first.copyable.length
             lengths.chunked(PARALLEL_CASES).forEach { group ->
                 group
--- a/app/src/test/kotlin/io/monsoonpath/app/platform/PlatformClientTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/platform/PlatformClientTest.kt
@@ -1,15 +1,12 @@
 package io.monsoonpath.app.platform
 
-import com.linecorp.armeria.client.ClientFactory
-import com.linecorp.armeria.common.util.EventLoopGroups
+import io.monsoonpath.app.client.GuardedClients
 import io.monsoonpath.app.client.Place
 import io.monsoonpath.app.client.StutteringServer
 import io.monsoonpath.app.client.lengthOf
-import io.monsoonpath.app.client.rejectRepeatedHeads
 import io.monsoonpath.app.client.responseHead
 import io.monsoonpath.coordination.replication.DocumentKind
 import io.monsoonpath.coordination.replication.ReadResult
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
@@ -26,13 +23,7 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class PlatformClientTest {
     private val threads = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
-    private val loops = EventLoopGroups.newEventLoopGroup(1, "platform")
-    private val clients =
-        ClientFactory
-            .builder()
-            .workerGroup(loops, true)
-            .rejectRepeatedHeads()
-            .build()
+    private val clients = GuardedClients("platform")
 
     @AfterAll
     fun stop() {
@@ -54,7 +45,7 @@
         first: String,
     ) {
         val accepted =
-            runBlocking(loops.next().asCoroutineDispatcher()) {
+            runBlocking(clients.dispatcher) {
                 (0 until first.indexOf("\r\n\r\n")).filter { length ->
                     StutteringServer(threads, place, first, ERROR, first.take(length)).use { server -> isErrorAccepted(server) }
                 }
@@ -63,7 +54,7 @@
     }
 
     private suspend fun isErrorAccepted(server: StutteringServer): Boolean =
-        PlatformClient("h1c://127.0.0.1:${server.port}", clients).use { client ->
+        PlatformClient("h1c://127.0.0.1:${server.port}", clients.factory).use { client ->
             val before = client.read(DocumentKind.CONFIGURATION, 0, 0).await()
             assertFalse(before is ReadResult.Failed, "the first read failed")
             repeat(YIELDS) { yield() }
