Read a response to its end although its caller has left

What operators would see: connections to backend servers, their places in the pool and a part of the buffers that are held until the process ends. Callers that use a route for requests that run only once, and leave, can use up all of them.

Cause: a request that may run only once goes on when its caller leaves. Beyond 256 KiB its response is relayed, and the connection of the caller decides whether more is read. A closed connection is never writable, so reading stopped and nothing resumed it. The same when a caller left while its connection was congested.

Ruled out: the buffers. A response of 1,000 bytes was read to its end, as it is not relayed before it is complete.

Change: a response that is done or whose caller has left is not congested, and a caller that leaves ends a wait for its connection.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/CallerConnection.kt
@@ -240,7 +240,7 @@
 
         override val isConnected: Boolean get() = !isDone && context?.channel()?.isActive == true
 
-        override val isCongested: Boolean get() = context?.channel()?.isWritable == false
+        override val isCongested: Boolean get() = !isDone && context?.channel()?.isWritable == false
 
         override fun onDrained(action: () -> Unit) {
             onDrainedAction = action
@@ -255,6 +255,8 @@
             isDisconnected = true
             finish(isReusable = false)
             running?.onCallerDisconnected()
+            // A closed connection becomes writable no more, and a request that goes on must not wait for it.
+            notifyDrained()
         }
 
         override fun writeFull(
