Let servers of the soak leave and refuse, and check what reaches them

Callers saw nothing of this: the soak had no server that says in its responses that it is leaving, or refuses with 503 and Retry-After, so nothing held the gate against processes that are killed, stopped and suspended.

Three workers a run say in all responses that they are leaving, and stay listed as ready for two to three times drain_ms; four times a worker refuses everything for 0.5 to 3 s with a wait of 0.6 to 4 s, whole seconds in about half of the cases. They follow from a generator of their own, so the faults and the draws of workers and callers stay the same for each seed. All ends within the recovery time; a run lasts as long as before.

DRAIN counts a request, refused or run, that its caller sent later than drain_ms after it had read a complete signed response with the notice. BUDGET counts more than two requests between half a second after a refusal and the end of its wait. Instances are excused by restarts (from the exit of the process) and freezes as they happened, not as planned. Stricter than stated: a cut from the store excuses nothing, and a cut of the link to the worker only a refusal that may have been lost in it; a delayed link excuses nothing. A worker that the store shows as draining twice keeps the time of the first.

--- a/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/GuaranteeChecker.kt
@@ -49,6 +49,9 @@
         return counted.count { it.isServed() }.toDouble() / counted.size.coerceAtLeast(1)
     }
 
+    /** The completed requests, in no particular order. */
+    val completedRequests: Collection<CompletedRequest> get() = requests
+
     /** The number of completed requests. */
     val requestCount: Int get() = requests.size
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -18,6 +18,10 @@
     val violations: List<String>,
     /** The number of late copies of each kind that the workers wrote. */
     val lateCopies: Map<CopyKind, Int>,
+    /** The number of responses that instances passed on and with which workers said that they are leaving. */
+    val passedOnLeavingCount: Int,
+    /** The number of requests that workers refused with status 503 and `Retry-After`. */
+    val refusalCount: Int,
 )
 
 /** Runs entry instances as processes against a fake store and fake workers, and injects the faults that follow from [seed]. */
@@ -30,6 +34,9 @@
     private val store = FakeStore(storeContents)
     private val workers = SoakWorkers(seed, storeContents, ::nowMs, ::scheduleAfter)
     private val schedule = FaultSchedule(seed, INSTANCES, WORKERS)
+    private val scheduledNotices = scheduleNotices(seed, WORKERS)
+    private val disruptions = Disruptions()
+    private val noticeChecker = NoticeChecker(workers.arrivals, workers.executions, disruptions)
     private val checker = GuaranteeChecker(workers.executions, workers.crashTimesMs, schedule, ::wasReceived)
     private val hosts = List(INSTANCES) { "127.0.${(FIRST_HOST_NUMBER + it) / HOST_NUMBERS}.${(FIRST_HOST_NUMBER + it) % HOST_NUMBERS}" }
     private val storeProxies = hosts.map { Proxy(store.port) }
@@ -51,6 +58,9 @@
     /** The faults that are injected, in their order. */
     val faults: List<ScheduledFault> get() = schedule.faults
 
+    /** The notices that workers begin to give, in their order. */
+    val notices: List<ScheduledNotice> get() = scheduledNotices
+
     /** Starts the deployment, sends requests while the faults are injected, and checks the guarantees afterwards. */
     fun run(): SoakOutcome {
         publishConfiguration(listOf(FaultSchedule.PERMANENT_KEY, FaultSchedule.WITHDRAWN_KEY))
@@ -60,6 +70,7 @@
         trafficStartMs = elapsedMs()
         val callers = List(CALLERS) { thread(isDaemon = true) { recordingFailure { runCaller(Random(seed * CALLERS + it)) } } }
         schedule.faults.forEach { scheduler.schedule({ recordingFailure { inject(it.fault) } }, it.atMs, TimeUnit.MILLISECONDS) }
+        scheduledNotices.forEach { scheduler.schedule({ recordingFailure { begin(it) } }, it.atMs, TimeUnit.MILLISECONDS) }
         sleepUntil(schedule.lastFaultEndMs + RECOVERY_MS)
         val fromMs = nowMs()
         sleepUntil(fromMs + MEASUREMENT_MS)
@@ -68,8 +79,10 @@
         return SoakOutcome(
             checker.requestCount,
             checker.servedFraction(fromMs),
-            checker.violations() + allFailures(),
+            checker.violations() + noticeChecker.violations(checker.completedRequests) + allFailures(),
             workers.lateCopies,
+            noticeChecker.passedOnCount(checker.completedRequests),
+            workers.arrivals.count { it.waitMs != null },
         )
     }
 
@@ -84,23 +97,24 @@
         when (fault) {
             is Fault.Kill ->
                 onInstance(fault.instance) {
+                    val killedAtMs = nowMs()
                     it.kill()
                     LockSupport.parkNanos(fault.downMs * NS_PER_MS)
                     it.start()
+                    disruptions.record(it.name, killedAtMs, nowMs())
                 }
-            is Fault.Pause -> {
-                instances[fault.instance].pause()
-                scheduleAfter(fault.durationMs) { instances[fault.instance].resume() }
-            }
+            is Fault.Pause -> pause(instances[fault.instance], fault.durationMs)
             is Fault.Stop ->
                 onInstance(fault.instance) {
                     if (!it.stop()) synchronized(recordedFailures) { recordedFailures += "${it.name} did not exit in time after SIGTERM" }
+                    val exitedAtMs = nowMs()
                     it.start()
+                    disruptions.record(it.name, exitedAtMs, nowMs())
                 }
             is Fault.Reload -> instances[fault.instance].reload()
             is Fault.StoreConnection -> setProxyMode(storeProxies[fault.instance], fault.mode, fault.durationMs)
-            is Fault.WorkerConnection -> setProxyMode(workers.proxies[fault.worker % workers.proxies.size], fault.mode, fault.durationMs)
-            is Fault.ResetWorkerConnections -> workers.proxies[fault.worker % workers.proxies.size].reset()
+            is Fault.WorkerConnection -> disturbLink(workerAt(fault.worker), fault.mode, fault.durationMs)
+            is Fault.ResetWorkerConnections -> resetLink(workerAt(fault.worker))
             Fault.ReplaceWorker -> replaceWorker()
             Fault.WithdrawKey -> {
                 publishConfiguration(listOf(FaultSchedule.PERMANENT_KEY))
@@ -116,25 +130,81 @@
         action: (EntryProcess) -> Unit,
     ) = synchronized(instances[number]) { action(instances[number]) }
 
+    private fun pause(
+        instance: EntryProcess,
+        durationMs: Long,
+    ) {
+        val pausedAtMs = nowMs()
+        instance.pause()
+        scheduleAfter(durationMs) {
+            instance.resume()
+            disruptions.record(instance.name, pausedAtMs, nowMs())
+        }
+    }
+
+    private fun workerAt(index: Int) = workers.ids.let { it[index % it.size] }
+
+    private fun disturbLink(
+        worker: String,
+        mode: ProxyMode,
+        durationMs: Long,
+    ) {
+        val fromMs = nowMs()
+        setProxyMode(workers.proxyOf(worker) ?: return, mode, durationMs) {
+            if (mode != ProxyMode.DELAY) disruptions.record(worker, fromMs, nowMs())
+        }
+    }
+
+    private fun resetLink(worker: String) {
+        val fromMs = nowMs()
+        workers.proxyOf(worker)?.reset()
+        disruptions.record(worker, fromMs, nowMs())
+    }
+
     private fun setProxyMode(
         proxy: Proxy,
         mode: ProxyMode,
         durationMs: Long,
+        onEnd: () -> Unit = {},
     ) {
         proxy.mode = mode
         scheduleAfter(durationMs) {
             proxy.mode = ProxyMode.FORWARD
             // Bytes were dropped within the stream, so the rest of the stream cannot be parsed.
             if (mode != ProxyMode.DELAY) proxy.reset()
+            onEnd()
+        }
+    }
+
+    private fun begin(scheduled: ScheduledNotice) {
+        val staying = workers.ids.filterNot { workers.notices.isLeaving(it) }
+        val worker = staying[scheduled.worker % staying.size]
+        when (val notice = scheduled.notice) {
+            is Notice.Leaving -> startLeaving(worker, notice.listedMs)
+            is Notice.Refusing -> workers.notices.startRefusing(worker, nowMs() + notice.durationMs, notice.waitMs)
         }
     }
 
+    private fun startLeaving(
+        worker: String,
+        listedMs: Long,
+    ) {
+        workers.notices.startLeaving(worker)
+        workers.start()
+        scheduleAfter(listedMs) { drain(worker) }
+    }
+
     @Synchronized
     private fun replaceWorker() {
         workers.start()
-        val leaving = workers.drainOldest()
-        schedule.recordDeparture(leaving, nowMs())
-        scheduleAfter(DRAIN_MS) { synchronized(this) { workers.remove(leaving) } }
+        drain(workers.ids.first())
+    }
+
+    @Synchronized
+    private fun drain(worker: String) {
+        if (!workers.drain(worker)) return
+        schedule.recordDeparture(worker, nowMs())
+        scheduleAfter(DRAIN_MS) { synchronized(this) { workers.remove(worker) } }
     }
 
     @Synchronized
@@ -237,7 +307,6 @@
         /** The recovery time after the last fault: a process start on a busy machine, and the recovery that the platform docs allow. */
         const val RECOVERY_MS = 6_000L
         const val MEASUREMENT_MS = 3_000L
-        const val DRAIN_MS = 2_000L
         const val MAX_PAUSE_NS = 40_000_000L
         const val POLL_INTERVAL_NS = 20_000_000L
         const val NS_PER_MS = 1_000_000L
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
@@ -21,8 +21,15 @@
                 val outcome = run.use { it.run() }
                 println("soak seed $seed: ${outcome.requests} requests, served after the faults ${outcome.servedFractionAfterFaults}")
                 println("soak seed $seed: late copies ${outcome.lateCopies}")
-                assertEquals(emptyList(), outcome.violations.take(MAX_SHOWN_VIOLATIONS), "logs in ${folder.path}, faults ${run.faults}")
+                println("soak seed $seed: notices passed on ${outcome.passedOnLeavingCount}, refusals ${outcome.refusalCount}")
+                assertEquals(
+                    emptyList(),
+                    outcome.violations.take(MAX_SHOWN_VIOLATIONS),
+                    "logs in ${folder.path}, faults ${run.faults}, notices ${run.notices}",
+                )
                 assertEquals(CopyMoment.entries.toSet(), outcome.lateCopies.keys.mapTo(HashSet()) { it.moment }, "moments of late copies")
+                assertTrue(outcome.passedOnLeavingCount > 0, "no instance passed on that a worker is leaving")
+                assertTrue(outcome.refusalCount > 0, "no worker refused a request with Retry-After")
                 assertTrue(outcome.requests > MIN_REQUESTS, "too few requests were sent: ${outcome.requests}")
                 assertTrue(
                     outcome.servedFractionAfterFaults >= MIN_SERVED_FRACTION,
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
@@ -17,6 +17,8 @@
     val status: Int,
     val signature: String,
     val body: String,
+    /** Whether the response says that the worker is leaving. */
+    val isLeaving: Boolean = false,
 )
 
 /**
@@ -50,7 +52,7 @@
  * as not run, answers with status 500, truncates the response, resets the connection without a response, sends an extra response
  * (not for streams), responds late, writes a copy of an earlier response after the response, or writes one in front of a response, which
  * is then an error in every other case. What is written follows from [seed], the worker, the request and the earlier responses on the
- * connection.
+ * connection. Beside that, a worker gives the [notices] that it is told to give.
  */
 class SoakWorkers(
     private val seed: Long,
@@ -66,6 +68,7 @@
     private val workers = java.util.Collections.synchronizedMap(LinkedHashMap<String, Worker>())
     private val startedCount = AtomicInteger()
     private val lateCopyCounts = ConcurrentHashMap<CopyKind, Int>()
+    private val drainingIds = HashSet<String>()
 
     /** The number of late copies of each kind that were written. */
     val lateCopies: Map<CopyKind, Int> get() = lateCopyCounts
@@ -73,11 +76,20 @@
     /** Every execution of a request by any worker, in no particular order. */
     val executions = ConcurrentLinkedQueue<Execution>()
 
+    /** Every request that any worker received, in no particular order. */
+    val arrivals = ConcurrentLinkedQueue<Arrival>()
+
+    /** The notices that the workers give in their responses. */
+    val notices = CurrentNotices()
+
     /** The times at which workers crashed because of the prompt of a request. */
     val crashTimesMs = ConcurrentLinkedQueue<Long>()
 
-    /** The proxies in front of the registered workers. */
-    val proxies: List<Proxy> get() = synchronized(workers) { workers.values.map { it.proxy } }
+    /** The ids of the registered workers, in the order of their starts. */
+    val ids: List<String> get() = synchronized(workers) { workers.keys.toList() }
+
+    /** Returns the proxy in front of the worker with [id], or null if it is not registered. */
+    fun proxyOf(id: String): Proxy? = workers[id]?.proxy
 
     /** Starts a worker and registers it. */
     fun start() {
@@ -101,17 +113,20 @@
         }
     }
 
-    /** Marks the oldest worker as draining and returns its id. */
-    fun drainOldest(): String {
-        val id = synchronized(workers) { workers.keys.first() }
-        register(id, "draining", sequence = 2)
-        return id
-    }
+    /** Marks the worker with [id] as draining. Returns false if it is draining already or not registered. */
+    fun drain(id: String): Boolean =
+        synchronized(workers) {
+            val isFirst = id in workers && drainingIds.add(id)
+            if (isFirst) register(id, "draining", sequence = 2)
+            isFirst
+        }
 
     /** Removes the worker with [id] from the store. Its server and its proxy keep running, also after [close]. */
     fun remove(id: String) {
-        store.put("servers/$id", null)
-        workers.remove(id)
+        synchronized(workers) {
+            store.put("servers/$id", null)
+            workers.remove(id)
+        }
     }
 
     private fun register(
@@ -131,9 +146,13 @@
         copies: LateCopies,
     ): WorkerAction {
         val random = Random("$seed $worker ${request.id}".hashCode())
+        val waitMs = notices.waitMsOf(worker, nowMs())
+        val isLeaving = notices.isLeaving(worker)
+        arrivals += Arrival(worker, request.id, nowMs(), waitMs)
         val failureSlot = number % FAILURE_CYCLE
-        if (failureSlot == TURNED_AWAY) {
-            val refusal = withKeepAlive(notRunResponse(request), random)
+        if (failureSlot == TURNED_AWAY || waitMs != null) {
+            val extra = (if (isLeaving) LEAVING_HEADER else "") + waitMs?.let { retryAfterHeader(it) }.orEmpty()
+            val refusal = withKeepAlive(notRunResponse(request).replaceFirst("\r\n", "\r\n$extra"), random)
             copies.record(request.connection, ResponseKind.REFUSAL, refusal)
             return WorkerAction.Write(refusal)
         }
@@ -143,7 +162,7 @@
             return WorkerAction.Crash("")
         }
         val isFailure = failureSlot == FAILED || (failureSlot in COPY_BEFORE && random.nextBoolean())
-        val answer = answerTo(request, "$worker.$number.${request.id}", isFailure)
+        val answer = answerTo(request, "$worker.$number.${request.id}", isFailure).copy(isLeaving = isLeaving)
         executions += Execution(worker, request, nowMs(), answer.takeUnless { failureSlot == CUT || failureSlot == LOST })
         if (failureSlot == SLOW) LockSupport.parkNanos(SLOW_RESPONSE_NS)
         val response = responseText(request, answer, random)
@@ -193,7 +212,9 @@
         random: Random,
     ): String {
         val status = if (answer.status == OK) "200 OK" else "${answer.status} Internal Server Error"
-        val extra = if (isStream(request) && answer.status == OK) "Content-Type: text/event-stream\r\n" else ""
+        val extra =
+            (if (answer.isLeaving) LEAVING_HEADER else "") +
+                (if (isStream(request) && answer.status == OK) "Content-Type: text/event-stream\r\n" else "")
         return withKeepAlive(signedResponse(request, answer.body, status, extra = extra, signature = answer.signature), random)
     }
 
