--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -34,7 +34,6 @@
     private val store = FakeStore(storeContents)
     private val workers = SoakWorkers(seed, storeContents, ::nowMs, ::scheduleAfter)
     private val schedule = FaultSchedule(seed, INSTANCES, WORKERS)
-    private val scheduledNotices = scheduleNotices(seed, WORKERS)
     private val disruptions = Disruptions()
     private val noticeChecker = NoticeChecker(workers.arrivals, workers.executions, disruptions)
     private val checker = GuaranteeChecker(workers.executions, workers.crashTimesMs, schedule, ::wasReceived)
@@ -59,7 +58,7 @@
     val faults: List<ScheduledFault> get() = schedule.faults
 
     /** The notices that workers begin to give, in their order. */
-    val notices: List<ScheduledNotice> get() = scheduledNotices
+    val notices: List<ScheduledNotice> = scheduleNotices(seed, WORKERS)
 
     /** Starts the deployment, sends requests while the faults are injected, and checks the guarantees afterwards. */
     fun run(): SoakOutcome {
@@ -70,7 +69,7 @@
         trafficStartMs = elapsedMs()
         val callers = List(CALLERS) { thread(isDaemon = true) { recordingFailure { runCaller(Random(seed * CALLERS + it)) } } }
         schedule.faults.forEach { scheduler.schedule({ recordingFailure { inject(it.fault) } }, it.atMs, TimeUnit.MILLISECONDS) }
-        scheduledNotices.forEach { scheduler.schedule({ recordingFailure { begin(it) } }, it.atMs, TimeUnit.MILLISECONDS) }
+        notices.forEach { scheduler.schedule({ recordingFailure { begin(it) } }, it.atMs, TimeUnit.MILLISECONDS) }
         sleepUntil(schedule.lastFaultEndMs + RECOVERY_MS)
         val fromMs = nowMs()
         sleepUntil(fromMs + MEASUREMENT_MS)
