--- a/review/rig2/Worker.java
+++ b/review/rig2/Worker.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -15,10 +16,14 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** A stand-in for a worker: registers in the store, writes there every 1.2 s, and serves one request at a time on a channel. */
+/**
+ * A stand-in for a worker: registers in the store, writes there every 1.2 s, and serves one request at a time on a channel. After a crash it
+ * comes back under its id and address.
+ */
 class Worker {
     private static final long HEARTBEAT_MS = 1_200;
     private static final int ANSWER_BYTES = 800;
+    private static final int STREAM_EVENTS = 4;
     private static final Pattern ID = Pattern.compile("\"id\":\"([^\"]*)\"");
     private static final AtomicLong HANDLES = new AtomicLong(System.nanoTime());
 
@@ -27,13 +32,14 @@
     final String service;
     final String zone;
     final int slots;
-    final long born = System.currentTimeMillis();
     final Record record;
     /** The requests and pieces that were run, by id. */
     final Set<String> ran = ConcurrentHashMap.newKeySet();
-    private final ServerSocket server;
+    private final InetSocketAddress address;
+    private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket server;
+    private long born;
     private long sequence;
-    private volatile boolean isRegistered = true;
 
     Worker(Store store, Record record, String host, String service, String id, String zone, int slots) throws IOException {
         this.store = store;
@@ -43,17 +49,59 @@
         this.zone = zone;
         this.slots = slots;
         server = new ServerSocket(0, 256, InetAddress.getByName(host));
-        Rig.thread("worker " + id, this::accept);
+        address = (InetSocketAddress) server.getLocalSocketAddress();
+        start();
+    }
+
+    String address() {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private void start() {
+        ServerSocket current = server;
+        born = System.currentTimeMillis();
+        sequence = 0;
+        Rig.thread("worker " + id, () -> accept(current));
         Rig.thread("heartbeat " + id, () -> {
-            while (isRegistered) {
+            while (!current.isClosed()) {
                 register("ready");
                 Rig.sleep(HEARTBEAT_MS);
             }
         });
     }
 
-    String address() {
-        return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
+    /** Resets all channels and refuses new ones for some time. The entry stays in the store, where it expires after three heartbeats. */
+    final synchronized boolean crash(long downMs) {
+        ServerSocket crashed = server;
+        if (crashed.isClosed()) return false;
+        close(crashed);
+        for (Socket channel : channels) reset(channel);
+        Rig.thread("restart of " + id, () -> {
+            Rig.sleep(downMs);
+            ServerSocket next = new ServerSocket();
+            next.setReuseAddress(true);
+            next.bind(address, 256);
+            server = next;
+            start();
+        });
+        return true;
+    }
+
+    private static void close(ServerSocket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // Closed by the caller.
+        }
     }
 
     private synchronized void register(String state) {
@@ -62,10 +110,11 @@
             + ",\"born\":" + born + "}");
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
+    private void accept(ServerSocket current) {
+        while (!current.isClosed()) {
             try {
-                Socket socket = server.accept();
+                Socket socket = current.accept();
+                channels.add(socket);
                 Rig.thread("channel of " + id, () -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -94,7 +143,9 @@
                 out.flush();
             }
         } catch (IOException e) {
-            // The caller has left.
+            // The caller has left, or this worker has crashed.
+        } finally {
+            channels.remove(socket);
         }
     }
 
@@ -122,7 +173,7 @@
             return;
         }
         recordRun(request);
-        if (request.header("Monsoonpath-Token-Count") != null) stream(requestId, out);
+        if (request.header("Monsoonpath-Token-Count") != null) stream(requestId, out, STREAM_EVENTS);
         else plain(requestId, out);
     }
 
@@ -138,10 +189,10 @@
             + "\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n" + "x".repeat(ANSWER_BYTES)));
     }
 
-    void stream(String requestId, OutputStream out) throws IOException {
+    void stream(String requestId, OutputStream out, int events) throws IOException {
         out.write(Http.bytes("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMonsoonpath-Request-Id: " + requestId
             + "\r\nMonsoonpath-Response-Signature: s." + requestId + "\r\nTransfer-Encoding: chunked\r\n\r\n"));
-        for (int event = 1; event <= 4; event++) {
+        for (int event = 1; event <= events; event++) {
             String text = "id: " + event + "\ndata: tokens\n\n";
             out.write(Http.bytes(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
             out.flush();
