Close connections between instances that have gone silent, and send their pieces again

Cause: a connection was given up only if it was closed or if 4 MiB waited to be written, and a piece without a result was sent elsewhere only then, or when datagrams were missing. Datagrams passed, so neither the membership nor PathMonitor noticed anything.

Ruled out: the added configuration (the first routes failed in the same way); a lost owner (no members.changed or paths.changed in the log); a time limit for each piece (pieces wait for seconds in a long queue); TCP's own keep-alive (a middlebox may acknowledge); executing the pieces locally (every instance would send calls of its own to the same workers).

Change: ConnectionMonitor sends a keep-alive every 500 ms while a connection is in use, which the peer returns, and closes it after four without a received byte. DistributedPieceExecutor sends the pieces again to the same owner, after withdrawing what is queued there. A keep-alive is an order to cancel nothing, which earlier versions accept; only hosts that have returned one are judged by it. Connections that are not used are closed after 30 s. Metric monsoonpath_peer_connections_silent, log line peer.silent.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -240,6 +240,7 @@
         metrics.gauge("monsoonpath_places_waiting") { rooms.waiting }
         metrics.gauge("monsoonpath_copied_tokens") { copies.copiedTokens }
         metrics.gauge("monsoonpath_members") { membership.liveMembers.size }
+        metrics.gauge("monsoonpath_peer_connections_silent") { transport.silentConnectionCount }
         directory.onChange { id ->
             if (directory[id] != null) return@onChange
             connectionPools.remove(id)
@@ -258,6 +259,7 @@
         transport.addListener(shareExchange)
         val hostsOfPieces = membership.hostsInUse
         membership.hostsInUse = { hostsOfPieces() + shareExchange.ownersInUse() }
+        transport.awaitedHosts = { membership.hostsInUse() }
         scheduler.scheduleRepeatedly(ShareExchange.INTERVAL_MS, rooms::reportDemand)
         scheduler.scheduleRepeatedly(CLOSE_EXPIRED_INTERVAL_MS, connectionPools::closeExpired)
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -162,7 +162,7 @@
                 )
             is PeerMessage.CancelPieces -> {
                 val pools = message.pools.mapTo(HashSet()) { PoolId(it) }
-                peerPieces.remove(from, RequestId(message.request), pools)
+                peerPieces.remove(RequestId(message.request), pools)
                 local.cancel(RequestId(message.request), pools)
             }
             is PeerMessage.ReleaseResults -> local.release(PoolId(message.pool), message.handles)
@@ -233,8 +233,25 @@
     override fun onDisconnect(connection: PeerConnection) {
         val affected = pending.values.filter { it.owner == connection.host }
         if (affected.isEmpty()) return
-        log.line("batcher.lost", "peer" to connection.host, "pieces" to affected.size)
-        reassign(affected)
+        log.line("batcher.lost", "peer" to connection.host, "pieces" to affected.size, "silent" to connection.hasGoneSilent)
+        if (connection.hasGoneSilent) sendAgain(affected) else reassign(affected)
+    }
+
+    /**
+     * Sends [lost] pieces over new connections to the owners that have them already. These withdraw what they have queued, as they may
+     * not notice that the former connections are silent.
+     */
+    private fun sendAgain(lost: List<PendingPiece>) {
+        val (returning, moved) = lost.partition { owners.ownerOf(it.piece.pool) == it.owner }
+        for ((target, pieces) in returning.filter { pending.remove(it.piece.id, it) }.groupBy { it.piece.pool to it.owner }) {
+            val (pool, owner) = target
+            val connection = connections.connectionTo(owner)
+            pieces.map { it.piece.id.request }.distinct().forEach {
+                connection.send(PeerMessage.CancelPieces(it.value, listOf(pool.value)))
+            }
+            forwardAgain(pool, owner, pieces)
+        }
+        reassign(moved)
     }
 
     /**
@@ -270,17 +287,25 @@
         lost: List<PendingPiece>,
     ) {
         val owner = owners.ownerOf(pool)
-        val listeners = lost.associate { it.piece.id to it.onResult }
-        val onResult = { id: PieceId, result: PieceResult -> listeners.getValue(id)(id, result) }
-        val pieces = lost.map { it.piece }
         // As long as the membership still names the lost owner, its pieces are executed here.
         if (owner == localAddress.host || owner == formerOwner) {
-            local.execute(pieces, onResult)
+            local.execute(lost.map { it.piece }, listenerOf(lost))
         } else {
-            forward(pool, owner, pieces, onResult)
+            forwardAgain(pool, owner, lost)
         }
     }
 
+    private fun forwardAgain(
+        pool: PoolId,
+        owner: String,
+        lost: List<PendingPiece>,
+    ) = forward(pool, owner, lost.map { it.piece }, listenerOf(lost))
+
+    private fun listenerOf(pieces: List<PendingPiece>): (PieceId, PieceResult) -> Unit {
+        val listeners = pieces.associate { it.piece.id to it.onResult }
+        return { id, result -> listeners.getValue(id)(id, result) }
+    }
+
     /** Returns whether the owner fills [pool] by rank. To other pools, messages are sent as instances without ranks know them. */
     private fun isPaced(pool: PoolId) = backlogs.forecastOf(pool) != null
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
@@ -110,6 +110,15 @@
         val validMs: Long,
         val spreadPercent: Int = 100,
     ) : PeerMessage
+
+    /** Messages with a special meaning. */
+    companion object {
+        /**
+         * Tests an outgoing connection; the accepting instance returns it. It cancels nothing, so earlier versions of the program accept it
+         * and do not return it.
+         */
+        val KEEP_ALIVE: PeerMessage = CancelPieces(request = "", pools = emptyList())
+    }
 }
 
 /** A piece to execute. Exactly one of [key] and [inputs] is set. The inputs exist for [inputsForMs] milliseconds, if that is known. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerPieces.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerPieces.kt
@@ -33,15 +33,14 @@
         if (pieces.isEmpty()) counts.remove(connection)
     }
 
-    /** Removes the pieces of [request] in [pools] that were received on [connection], because they were cancelled. */
+    /** Removes the pieces of [request] in [pools], on whichever connection they were received, because they were cancelled. */
     fun remove(
-        connection: PeerConnection,
         request: RequestId,
         pools: Set<PoolId>,
     ) {
-        val pieces = counts[connection] ?: return
-        pools.forEach { pieces.remove(Key(request, it)) }
-        if (pieces.isEmpty()) counts.remove(connection)
+        val keys = pools.map { Key(request, it) }
+        counts.values.forEach { it.keys.removeAll(keys.toSet()) }
+        counts.values.removeIf { it.isEmpty() }
     }
 
     /** Removes all pieces that were received on [connection] and returns their number by request and pool. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
@@ -1,13 +1,15 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.coordination.gossip.ConnectionMonitor
+import io.monsoonpath.coordination.gossip.ConnectionMonitor.Verdict
 import io.monsoonpath.coordination.message.decodeCborOrNull
+import io.monsoonpath.gateway.EventLoopScheduler
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -20,9 +22,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 import io.netty.handler.codec.LengthFieldPrepender
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.encodeToByteArray
 
 /** Receives the messages of peers. */
 internal interface PeerListener {
@@ -51,38 +50,6 @@
     fun disconnect(host: String)
 }
 
-/** A connection to another instance. Messages are queued until the connection is established. */
-internal class PeerConnection(
-    val host: String,
-    private val channel: Channel,
-) {
-    private val queuedFrames = ArrayDeque<ByteBuf>()
-
-    /** Whether the connection is established or being established. */
-    val isOpen: Boolean get() = channel.isOpen
-
-    /** Sends [message]. Closes the connection instead if its write buffer is full, which limits the memory used for a slow reader. */
-    @OptIn(ExperimentalSerializationApi::class)
-    fun send(message: PeerMessage) {
-        if (!channel.isWritable && channel.isActive) {
-            channel.close()
-            return
-        }
-        val frame = Unpooled.wrappedBuffer(Cbor.encodeToByteArray<PeerMessage>(message))
-        if (channel.isActive) channel.writeAndFlush(frame) else queuedFrames.addLast(frame)
-    }
-
-    /** Sends the queued messages once the connection is established. */
-    fun onConnected() {
-        while (queuedFrames.isNotEmpty()) channel.write(queuedFrames.removeFirst())
-        channel.flush()
-    }
-
-    fun close() {
-        channel.close()
-    }
-}
-
 /**
  * Exchanges messages between instances as length-prefixed CBOR frames over TCP. Must be used on the event loop only.
  *
@@ -97,6 +64,17 @@
     private val intake = PeerIntake(capacity, log)
     private val listeners = ArrayList<PeerListener>()
     private val outgoingConnections = HashMap<String, PeerConnection>()
+    private val incomingConnections = LinkedHashSet<PeerConnection>()
+
+    /** The hosts whose processes return keep-alives. Those of earlier versions ignore them. */
+    private val answeringHosts = HashSet<String>()
+
+    /** Returns the hosts from which this instance waits for messages. */
+    var awaitedHosts: () -> Set<String> = { emptySet() }
+
+    /** The outgoing connections that were closed because nothing arrived on them. */
+    var silentConnectionCount = 0
+        private set
 
     override fun addListener(listener: PeerListener) {
         listeners += listener
@@ -119,6 +97,28 @@
                 },
             ).bind(localAddress.host, localAddress.port)
             .sync()
+        EventLoopScheduler(loop, log).scheduleRepeatedly(ConnectionMonitor.ROUND_INTERVAL_MS, ::runRound)
+    }
+
+    private fun runRound() {
+        val awaited = awaitedHosts()
+        for (connection in outgoingConnections.values.filter { it.isActive }) {
+            when (connection.monitor.startRound(isAwaited = connection.host in awaited)) {
+                Verdict.NONE -> Unit
+                Verdict.SEND_KEEP_ALIVE -> connection.sendKeepAlive()
+                Verdict.CLOSE_UNUSED -> connection.close()
+                Verdict.CLOSE_SILENT -> if (connection.host in answeringHosts) closeSilent(connection) else connection.sendKeepAlive()
+            }
+        }
+        incomingConnections
+            .filter { it.hasKeepAlive && it.monitor.startIncomingRound() == Verdict.CLOSE_UNUSED }
+            .forEach { it.close() }
+    }
+
+    private fun closeSilent(connection: PeerConnection) {
+        silentConnectionCount++
+        log.line("peer.silent", "peer" to connection.host, "hasReceived" to connection.monitor.hasReceived)
+        connection.closeSilent()
     }
 
     private fun accept(
@@ -134,7 +134,11 @@
         child.pipeline().addLast(ReceivedBytesHandler(input))
         val connection = PeerConnection(host, child)
         initPipeline(child, connection, input)
-        child.closeFuture().addListener { listeners.forEach { it.onPeerClosed(connection) } }
+        incomingConnections += connection
+        child.closeFuture().addListener {
+            incomingConnections -= connection
+            listeners.forEach { it.onPeerClosed(connection) }
+        }
     }
 
     override fun connectionTo(host: String): PeerConnection = outgoingConnections[host] ?: connect(host)
@@ -144,25 +148,28 @@
     }
 
     private fun connect(host: String): PeerConnection {
+        val channel = NioSocketChannel()
+        val connection = PeerConnection(host, channel)
+        outgoingConnections[host] = connection
+        channel.closeFuture().addListener {
+            if (outgoingConnections[host] === connection) outgoingConnections.remove(host)
+            // Another version of the program may start at this host.
+            if (!connection.isClosedHere) answeringHosts -= host
+            listeners.forEach { it.onDisconnect(connection) }
+        }
         val future =
             Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel::class.java)
+                .channelFactory { channel }
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .handler(
                     object : ChannelInitializer<Channel>() {
-                        override fun initChannel(channel: Channel) = initPipeline(channel, PeerConnection(host, channel))
+                        override fun initChannel(channel: Channel) = initPipeline(channel, connection)
                     },
                 ).connect(host, localAddress.port)
-        val connection = PeerConnection(host, future.channel())
-        outgoingConnections[host] = connection
         future.addListener { if (future.isSuccess) connection.onConnected() }
-        future.channel().closeFuture().addListener {
-            if (outgoingConnections[host] === connection) outgoingConnections.remove(host)
-            listeners.forEach { it.onDisconnect(connection) }
-        }
         return connection
     }
 
@@ -172,12 +179,26 @@
         input: PeerInput? = null,
     ) {
         channel.pipeline().addLast(
+            ActivityHandler(connection.monitor),
             LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
             LengthFieldPrepender(LENGTH_BYTES),
             MessageHandler(connection, input),
         )
     }
 
+    /** Records that bytes have arrived, also those of an incomplete message. */
+    private class ActivityHandler(
+        private val monitor: ConnectionMonitor,
+    ) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            ctx: ChannelHandlerContext,
+            msg: Any,
+        ) {
+            monitor.recordReceived()
+            ctx.fireChannelRead(msg)
+        }
+    }
+
     /** Charges received bytes before they are collected to messages. */
     private inner class ReceivedBytesHandler(
         private val input: PeerInput,
@@ -206,7 +227,12 @@
                 return
             }
             input?.let { intake.deliver(it, LENGTH_BYTES + msg.readableBytes()) }
-            listeners.forEach { it.onMessage(connection, message) }
+            if (message == PeerMessage.KEEP_ALIVE) receiveKeepAlive() else listeners.forEach { it.onMessage(connection, message) }
+        }
+
+        private fun receiveKeepAlive() {
+            connection.hasKeepAlive = true
+            if (input != null) connection.sendKeepAlive() else answeringHosts += connection.host
         }
 
         override fun exceptionCaught(
