Send what the pieces of a request have in common once, and bound what waits for a connection

Cause: all pieces of a request were sent in one message that repeated its id, key and inputs for each, 15 MB for a head of 15 kB. Any number of such messages was queued until the connection was established, and the receiver, whose limit is 2 MiB, closed it, so they were sent again.

Ruled out: the memory of callers (20 heads are 300 kB and charged); the queue of the batching instance (its pieces share one key; it went on).

Change: executePieces and reportPieces send long common fields once and split messages at 64 KiB. Sender and receiver share one limit: pieces whose message exceeds it are executed by the instance itself; a topic of documents that exceeds it is logged and not sent. What waits for a connection to be established is bounded at 4 MiB. Ordinary requests are sent as earlier versions know them.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -45,7 +45,7 @@
     private val reportBuffer =
         ReportBuffer<PeerConnection>(scheduler) { receiver, pool, reports ->
             val id = PoolId(pool)
-            receiver.send(PeerMessage.ReportPieces(pool, local.backlogMs(id), reports, local.forecast(id)?.waitsByRankMs))
+            reportPieces(pool, local.backlogMs(id), reports, local.forecast(id)?.waitsByRankMs).forEach(receiver::send)
         }
 
     /** The owners that were told to expect pieces, by request and pool. */
@@ -116,9 +116,17 @@
     ) {
         pieces.forEach { pending[it.id] = PendingPiece(it, owner, onResult) }
         val nowMs = clock.nowMs()
-        connections.connectionTo(owner).send(PeerMessage.ExecutePieces(pool.value, pieces.map { specOf(it, nowMs, isPaced(pool)) }))
+        for (message in executePieces(pool.value, pieces.map { specOf(it, nowMs, isPaced(pool)) })) {
+            if (!connections.connectionTo(owner).send(message)) executeUnsent(message, onResult)
+        }
     }
 
+    /** Executes the pieces of a [message] that is too long to be sent. */
+    private fun executeUnsent(
+        message: PeerMessage.ExecutePieces,
+        onResult: (PieceId, PieceResult) -> Unit,
+    ) = local.execute(message.completePieces.mapNotNull { pending.remove(idOf(it))?.piece }, onResult)
+
     override fun cancel(
         request: RequestId,
         pools: Set<PoolId>,
@@ -150,7 +158,7 @@
             is PeerMessage.ExecutePieces -> executeForPeer(from, message)
             is PeerMessage.ReportPieces -> {
                 recordLoad(message)
-                message.pieces.forEach { handleReport(from, PoolId(message.pool), it) }
+                message.completePieces.forEach { handleReport(from, PoolId(message.pool), it) }
             }
             is PeerMessage.ExpectPieces ->
                 local.expect(
@@ -189,7 +197,7 @@
     ) {
         val nowMs = clock.nowMs()
         val pool = PoolId(message.pool)
-        val pieces = message.pieces.map { pieceOf(it, pool, nowMs) }
+        val pieces = message.completePieces.map { pieceOf(it, pool, nowMs) }
         pieces.forEach { peerPieces.add(from, it.id.request, pool) }
         local.execute(pieces) { id, result ->
             if (result != PieceResult.Started) peerPieces.recordEnd(from, id.request, pool)
@@ -332,7 +340,7 @@
         pool: PoolId,
         nowMs: Long,
     ) = Piece(
-        id = PieceId(RequestId(spec.request), spec.stage, spec.segment),
+        id = idOf(spec),
         pool = pool,
         input = spec.inputs?.let { PieceInput.Results(it) } ?: PieceInput.Key(spec.key.orEmpty()),
         resultBytes = spec.resultBytes,
@@ -343,6 +351,8 @@
         inputsUntilMs = spec.inputsForMs?.let { nowMs + it } ?: Long.MAX_VALUE,
     )
 
+    private fun idOf(spec: PieceSpec) = PieceId(RequestId(spec.request), spec.stage, spec.segment)
+
     private fun reportOf(
         id: PieceId,
         result: PieceResult,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerConnection.kt
@@ -14,6 +14,7 @@
     private val channel: Channel,
 ) {
     private val queuedFrames = ArrayDeque<ByteBuf>()
+    private var queuedBytes = 0
 
     /** Decides when a keep-alive is sent, and whether the connection still works. */
     val monitor = ConnectionMonitor()
@@ -36,15 +37,23 @@
     /** Whether the connection is established. */
     val isActive: Boolean get() = channel.isActive
 
-    /** Sends [message]. Closes the connection instead if its write buffer is full, which limits the memory used for a slow reader. */
-    fun send(message: PeerMessage) {
-        if (!channel.isWritable && channel.isActive) {
-            close()
-            return
-        }
-        monitor.recordSent()
+    /**
+     * Sends [message], and returns false if it is too long for a peer to accept. Closes the connection instead if the messages that wait to
+     * be written have more than [MAX_WAITING_BYTES], which limits the memory used for a slow reader.
+     */
+    fun send(message: PeerMessage): Boolean {
         val frame = encode(message)
-        if (channel.isActive) channel.writeAndFlush(frame) else queuedFrames.addLast(frame)
+        if (frame.readableBytes() > MAX_MESSAGE_BYTES) return false
+        monitor.recordSent()
+        when {
+            channel.isActive -> if (channel.isWritable) channel.writeAndFlush(frame) else close()
+            queuedBytes + frame.readableBytes() > MAX_WAITING_BYTES -> close()
+            channel.isOpen -> {
+                queuedBytes += frame.readableBytes()
+                queuedFrames.addLast(frame)
+            }
+        }
+        return true
     }
 
     /** Sends a message that the peer returns. It does not count as use of the connection. */
@@ -59,6 +68,7 @@
     fun onConnected() {
         sendKeepAlive()
         while (queuedFrames.isNotEmpty()) channel.write(queuedFrames.removeFirst())
+        queuedBytes = 0
         channel.flush()
     }
 
@@ -72,4 +82,18 @@
         hasGoneSilent = monitor.hasReceived
         close()
     }
+
+    /** The limits of messages, which sender and receiver share. */
+    companion object {
+        const val LENGTH_BYTES = 4
+
+        /** Fits a document of one megabyte in Base64 and the other fields of its message, with the length of the frame. */
+        const val MAX_FRAME_BYTES = 1 shl 21
+
+        /** The longest message. */
+        const val MAX_MESSAGE_BYTES = MAX_FRAME_BYTES - LENGTH_BYTES
+
+        /** Two of the longest messages. */
+        const val MAX_WAITING_BYTES = 2 * MAX_FRAME_BYTES
+    }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
@@ -97,7 +97,7 @@
     private val transport: PeerTransport,
     private val replica: DocumentReplica,
     private val scheduler: Scheduler,
-    log: DecisionLog,
+    private val log: DecisionLog,
     random: Random,
     readers: SourceReaders,
     clock: ClockMs,
@@ -131,7 +131,7 @@
     ) {
         when (message) {
             is PeerMessage.RequestDocuments ->
-                requests.replyTo(message.topic, message.revision)?.let { from.send(PeerMessage.SendDocuments(it)) }
+                requests.replyTo(message.topic, message.revision)?.let { send(from, it.topic, PeerMessage.SendDocuments(it)) }
             is PeerMessage.SendDocuments -> requests.receive(from.host, message.documents)
             is PeerMessage.ForwardDocuments -> forwarding.receive(from.host, message.update)
             is PeerMessage.ReportSource -> forwarding.receive(from.host, message.heartbeat)
@@ -141,23 +141,36 @@
 
     override fun onDisconnect(connection: PeerConnection) = Unit
 
+    /** Sends [message] about [topic]. A receiver that does not get a topic of more than two megabytes reads it from the source. */
+    private fun send(
+        receiver: PeerConnection,
+        topic: String,
+        message: PeerMessage,
+    ) {
+        if (!receiver.send(message)) log.line("peer.message-too-long", "peer" to receiver.host, "topic" to topic)
+    }
+
     private inner class PeersOverTransport : DocumentPeers {
         override val liveMembers get() = membership.liveMembers
 
         override fun send(
             host: String,
             update: DocumentUpdate,
-        ) = transport.connectionTo(host).send(PeerMessage.ForwardDocuments(update))
+        ) = send(transport.connectionTo(host), update.delta.topic, PeerMessage.ForwardDocuments(update))
 
         override fun send(
             host: String,
             heartbeat: SourceHeartbeat,
-        ) = transport.connectionTo(host).send(PeerMessage.ReportSource(heartbeat))
+        ) {
+            transport.connectionTo(host).send(PeerMessage.ReportSource(heartbeat))
+        }
 
         override fun requestDocuments(
             host: String,
             topic: String,
             sinceRevision: Long,
-        ) = transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, sinceRevision))
+        ) {
+            transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, sinceRevision))
+        }
     }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
@@ -9,13 +9,21 @@
 /** A message between two instances. Times are durations from the time of sending, because clocks of instances are not compared. */
 @Serializable
 internal sealed interface PeerMessage {
-    /** Requests the execution of pieces from the receiver, which batches for the pool. */
+    /**
+     * Requests the execution of pieces from the receiver, which batches for the pool. If [origin] is set, [pieces] leave out what it
+     * contains.
+     */
     @Serializable
     @SerialName("make")
     data class ExecutePieces(
         val pool: String,
         val pieces: List<PieceSpec>,
-    ) : PeerMessage
+        val origin: PieceOrigin? = null,
+    ) : PeerMessage {
+        /** The pieces with all their fields. */
+        val completePieces: List<PieceSpec>
+            get() = origin?.let { pieces.map { piece -> piece.copy(request = it.request, key = it.key, inputs = it.inputs) } } ?: pieces
+    }
 
     /** Requests the documents of a topic that changed after a revision. */
     @Serializable
@@ -60,7 +68,8 @@
     /**
      * Reports the status of pieces, and the estimated time that the pool needs for its queued and expected pieces, in milliseconds.
      *
-     * If the pool's workers state a pace, [waitsByRankMs] contains the time that a new piece of each rank waits, from rank 0.
+     * If the pool's workers state a pace, [waitsByRankMs] contains the time that a new piece of each rank waits, from rank 0. If [request]
+     * is set, all [pieces] belong to it and leave it out.
      */
     @Serializable
     @SerialName("made")
@@ -69,7 +78,11 @@
         val backlogMs: Long,
         val pieces: List<PieceReport>,
         val waitsByRankMs: List<Long>? = null,
-    ) : PeerMessage
+        val request: String? = null,
+    ) : PeerMessage {
+        /** The reports with all their fields. */
+        val completePieces: List<PieceReport> get() = request?.let { pieces.map { piece -> piece.copy(request = it) } } ?: pieces
+    }
 
     /** Cancels the queued and expected pieces of a request. */
     @Serializable
@@ -121,10 +134,18 @@
     }
 }
 
+/** What the pieces of one stage of a request have in common. Exactly one of [key] and [inputs] is set. */
+@Serializable
+internal data class PieceOrigin(
+    @SerialName("r") val request: String,
+    @SerialName("k") val key: String? = null,
+    @SerialName("i") val inputs: List<String>? = null,
+)
+
 /** A piece to execute. Exactly one of [key] and [inputs] is set. The inputs exist for [inputsForMs] milliseconds, if that is known. */
 @Serializable
 internal data class PieceSpec(
-    @SerialName("r") val request: String,
+    @SerialName("r") val request: String = "",
     @SerialName("s") val stage: Int,
     @SerialName("g") val segment: Int,
     @SerialName("k") val key: String? = null,
@@ -140,7 +161,7 @@
 /** The status of a piece: completed if [handle] is set, failed if [failure] is set, otherwise started by a worker. */
 @Serializable
 internal data class PieceReport(
-    @SerialName("r") val request: String,
+    @SerialName("r") val request: String = "",
     @SerialName("s") val stage: Int,
     @SerialName("g") val segment: Int,
     @SerialName("h") val handle: String? = null,
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerTransport.kt
@@ -6,6 +6,8 @@
 import io.monsoonpath.gateway.EventLoopScheduler
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.log.DecisionLog
+import io.monsoonpath.gateway.peer.PeerConnection.Companion.LENGTH_BYTES
+import io.monsoonpath.gateway.peer.PeerConnection.Companion.MAX_FRAME_BYTES
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
@@ -246,10 +248,6 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 400
-        const val LENGTH_BYTES = 4
-
-        /** Fits a document of one megabyte in Base64 and the other fields of its message. */
-        const val MAX_FRAME_BYTES = 1 shl 21
-        val WRITE_WATER_MARK = WriteBufferWaterMark(MAX_FRAME_BYTES, 2 * MAX_FRAME_BYTES)
+        val WRITE_WATER_MARK = WriteBufferWaterMark(PeerConnection.MAX_FRAME_BYTES, PeerConnection.MAX_WAITING_BYTES)
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PieceMessages.kt
@@ -0,0 +1,88 @@
+package io.monsoonpath.gateway.peer
+
+/*
+ * A caller may state many pieces, and a long id and key for all of them. Messages about pieces are therefore bounded: they are split, and
+ * what the pieces of a request have in common is sent once if it would take much space in each of them.
+ */
+
+/** Returns the messages that request the execution of [pieces] in [pool]. Each has about [MAX_REPEATED_BYTES] at most, or one request. */
+internal fun executePieces(
+    pool: String,
+    pieces: List<PieceSpec>,
+): List<PeerMessage.ExecutePieces> {
+    val byOrigin = pieces.groupBy { PieceOrigin(it.request, it.key, it.inputs) }
+    val (long, short) = byOrigin.entries.partition { (origin, group) -> origin.estimatedBytes * group.size > MAX_REPEATED_BYTES }
+    val complete =
+        short
+            .flatMap { it.value }
+            .chunkedBySize(MAX_REPEATED_BYTES) { it.estimatedBytes }
+            .map { PeerMessage.ExecutePieces(pool, it) }
+    val abbreviated =
+        long.flatMap { (origin, group) ->
+            group
+                .map { it.copy(request = "", key = null, inputs = null) }
+                .chunkedBySize(MAX_REPEATED_BYTES) { it.estimatedBytes }
+                .map { PeerMessage.ExecutePieces(pool, it, origin) }
+        }
+    return complete + abbreviated
+}
+
+/** Returns the messages that report [reports] of [pool]. Each has about [MAX_REPEATED_BYTES] at most, or one request. */
+internal fun reportPieces(
+    pool: String,
+    backlogMs: Long,
+    reports: List<PieceReport>,
+    waitsByRankMs: List<Long>?,
+): List<PeerMessage.ReportPieces> {
+    val (long, short) = reports.groupBy { it.request }.entries.partition { (id, group) -> id.length * group.size > MAX_REPEATED_BYTES }
+    val complete =
+        short
+            .flatMap { it.value }
+            .chunkedBySize(MAX_REPEATED_BYTES) { it.estimatedBytes }
+            .map { PeerMessage.ReportPieces(pool, backlogMs, it, waitsByRankMs) }
+    val abbreviated =
+        long.flatMap { (id, group) ->
+            group
+                .map { it.copy(request = "") }
+                .chunkedBySize(MAX_REPEATED_BYTES) { it.estimatedBytes }
+                .map { PeerMessage.ReportPieces(pool, backlogMs, it, waitsByRankMs, request = id) }
+        }
+    return complete + abbreviated
+}
+
+private val PieceOrigin.estimatedBytes: Int
+    get() = request.length + (key?.length ?: 0) + inputs.orEmpty().sumOf { it.length + STRING_BYTES }
+
+private val PieceSpec.estimatedBytes: Int
+    get() = FIXED_BYTES + PieceOrigin(request, key, inputs).estimatedBytes + (domain?.length ?: 0)
+
+private val PieceReport.estimatedBytes: Int
+    get() = FIXED_BYTES + request.length + (handle?.length ?: 0)
+
+/** Splits this list into lists of one or more consecutive elements, of [maxBytes] at most unless a single element is larger. */
+internal fun <T> List<T>.chunkedBySize(
+    maxBytes: Int,
+    bytesOf: (T) -> Int,
+): List<List<T>> {
+    val chunks = ArrayList<ArrayList<T>>()
+    var bytes = 0
+    for (element in this) {
+        val size = bytesOf(element)
+        if (chunks.isEmpty() || bytes + size > maxBytes) {
+            chunks += ArrayList<T>()
+            bytes = 0
+        }
+        chunks.last() += element
+        bytes += size
+    }
+    return chunks
+}
+
+/** Requests with less to repeat are sent as earlier versions of the program know them. */
+private const val MAX_REPEATED_BYTES = 64 * 1024
+
+/** The names and numbers of a piece. */
+private const val FIXED_BYTES = 64
+
+/** The length of a string, as it is encoded. */
+private const val STRING_BYTES = 3
