Send reports on crashes in as many datagrams as they need

Cause: sender and receiver of evidence held different limits. The sender encoded all parts of a suspect, the receiver took a report with more than 32 of them as unreadable, some 500 lines evidence.unreadable on each instance. Reports of more than 2,048 bytes did not fit into the receive buffer either.

Change: the length of a datagram is the one limit of both sides. Longer reports are sent in fragments, which complete each other whoever sent them and when, and are used as a whole. Evidence is bounded by its parts as well as its reports, one message by 64 KiB; ids of more than 64 characters are replaced by their hash.

CrashEvidenceTest has new cases for reports of up to 4,000 parts, lost fragments and bounds.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/crash/CrashEvidence.kt
@@ -47,6 +47,9 @@
 ) {
     /** The parts of all suspects. */
     val parts: Set<PromptPartId> get() = suspects.flatMapTo(HashSet()) { it.parts }
+
+    /** The number of parts of all suspects, which may have some in common. */
+    val partCount: Int get() = suspects.sumOf { it.parts.size }
 }
 
 /** States that requests with [parts] were answered after [crash], so that these parts did not cause it. */
@@ -89,6 +92,7 @@
     /** The crashes in which a part is suspected and not cleared. */
     private val crashesBySuspect = HashMap<PromptPartId, HashSet<CrashId>>()
     private val answeredAtMs = LruMap<PromptPartId, Long>(MAX_ANSWERED_PARTS)
+    private val assembly = ReportAssembly(MAX_REPORTED_PARTS)
 
     /** A hash of all reports and clearances, which is the same on instances with the same evidence; 0 if there is none. */
     var digest: Long = 0
@@ -102,11 +106,35 @@
         expire(nowMs)
         val newReports = delta.reports.filter { isCurrent(it, nowMs) && reports.putIfAbsent(it.id, it) == null }
         newReports.forEach(::index)
+        delta.clearances.forEach(assembly::addClearance)
         val clearances = (delta.clearances + newReports.map(::clearanceByLaterAnswers)).mapNotNull(::addClearance)
-        if (reports.size > MAX_REPORTS) removeAll(reports.values.sortedBy { it.atMs }.take(reports.size - MAX_REPORTS))
+        if (newReports.isNotEmpty()) removeExcess()
         return EvidenceDelta(newReports, clearances)
     }
 
+    /** Merges a [fragment] of a report, which is used when all its fragments were received, and returns what was new. */
+    fun merge(
+        fragment: ReportFragment,
+        nowMs: Long,
+    ): EvidenceDelta {
+        val report = fragment.report
+        if (!isCurrent(report, nowMs)) return EvidenceDelta()
+        if (report.id in reports) return merge(EvidenceDelta(clearances = listOf(Clearance(report.crash, fragment.clearedParts))), nowMs)
+        return assembly.add(fragment)?.let { merge(it, nowMs) } ?: EvidenceDelta()
+    }
+
+    /** Removes the oldest reports if there are too many, or if they have too many parts. */
+    private fun removeExcess() {
+        var partCount = reports.values.sumOf { it.partCount }
+        if (reports.size <= MAX_REPORTS && partCount <= MAX_REPORTED_PARTS) return
+        val kept = reports.values.sortedBy { it.atMs }.toMutableList()
+        val removed = ArrayList<CrashReport>()
+        while (kept.size > MAX_REPORTS || (partCount > MAX_REPORTED_PARTS && kept.size > 1)) {
+            removed += kept.removeFirst().also { partCount -= it.partCount }
+        }
+        removeAll(removed)
+    }
+
     /** Records that a request with [parts] was answered at [nowMs], and returns the clearances that follow. */
     fun recordAnswer(
         parts: Set<PromptPartId>,
@@ -175,6 +203,7 @@
     ): ReportedSuspect? = suspect.copy(parts = suspect.parts - clearedParts.getValue(crash)).takeIf { it.parts.isNotEmpty() }
 
     private fun expire(nowMs: Long) {
+        assembly.removeIf { !isCurrent(it, nowMs) }
         if (reports.values.any { !isCurrent(it, nowMs) }) removeAll(reports.values.filterNot { isCurrent(it, nowMs) })
     }
 
@@ -191,9 +220,12 @@
         /** Longer than the longest quarantine and its trials. */
         const val DEFAULT_RETENTION_MS = 1_200_000L
 
-        /** Bounds memory: a report has a few hundred bytes. */
+        /** Bounds memory: a report has a few hundred bytes, unless prompts have very many parts. */
         const val MAX_REPORTS = 256
 
+        /** Bounds memory, at about 200 bytes a part. */
+        const val MAX_REPORTED_PARTS = 65_536
+
         /** More than the parts in use within the seconds that a report takes at most. */
         const val MAX_ANSWERED_PARTS = 4_096
     }
--- a/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
+++ b/coordination/src/test/kotlin/io/monsoonpath/coordination/crash/CrashEvidenceTest.kt
@@ -136,22 +136,120 @@
             }
         }
 
+    private class PromptCase(
+        val name: String,
+        val partCount: Int,
+        val suspects: Int = 1,
+        val partChars: Int = 8,
+        val backendChars: Int = 10,
+    ) {
+        fun report(): CrashReport {
+            val prompts = List(suspects) { suspect -> List(partCount) { "$suspect-$it".padEnd(partChars, 'p') }.joinToString(" ") }
+            return report("127.100.100.100", 7, 1_000, *prompts.toTypedArray(), crash = CrashId(BackendId("b".repeat(backendChars)), 1))
+        }
+    }
+
+    private val promptCases =
+        listOf(
+            PromptCase("three parts", 3),
+            PromptCase("40 parts", 40),
+            PromptCase("parts as long as ids are", 20, partChars = PromptPartId.MAX_CHARS, backendChars = 256),
+            PromptCase("eight suspects with long parts", 20, suspects = 8, partChars = PromptPartId.MAX_CHARS, backendChars = 256),
+            PromptCase("as many parts as fit into a head of 16 KB", 4_000, suspects = 2, partChars = 4),
+        )
+
+    /** A receiver rejected reports with more than 32 parts, and longer ones did not fit into its buffer, so no instance learned of them. */
+    @TestFactory
+    fun `reports on prompts of any length arrive, in any order of their datagrams`() =
+        promptCases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val report = case.report()
+                val cleared = report.parts.filterIndexedTo(HashSet()) { i, _ -> i % 3 == 0 }
+                val sent = EvidenceDelta(listOf(report), listOf(Clearance(report.crash, cleared)))
+                val datagrams = EvidenceCodec.encode(EvidenceMessage.Evidence(sent), nowMs = 1_400)
+                assertTrue(datagrams.all { it.size <= MAX_DATAGRAM_BYTES }, "a datagram has ${datagrams.maxOf { it.size }} bytes")
+                val receiver = CrashEvidence()
+                for (datagram in datagrams.shuffled(Random(1))) {
+                    assertEquals(emptyList(), receiver.crashes(1_400), "a report is used before it is complete")
+                    merge(receiver, datagram)
+                }
+                val expected = CrashEvidence().also { it.merge(sent, 1_400) }
+                assertEquals(expected.digest, receiver.digest)
+                assertEquals(expected.crashes(1_400).single().suspects, receiver.crashes(1_400).single().suspects)
+            }
+        }
+
+    @Test
+    fun `fragments that were lost arrive from another instance, at another time`() {
+        val report = PromptCase("", 400).report()
+        val first = EvidenceCodec.encode(EvidenceMessage.Evidence(EvidenceDelta(listOf(report))), nowMs = 1_400)
+        val forwarder = CrashEvidence().also { it.merge(EvidenceDelta(listOf(report)), 1_400) }
+        val second = EvidenceCodec.encode(EvidenceMessage.Evidence(forwarder.all(1_900)), nowMs = 1_900)
+        val receiver = CrashEvidence()
+        first.filterIndexed { i, _ -> i % 2 == 0 }.forEach { merge(receiver, it) }
+        second.filterIndexed { i, _ -> i % 2 == 1 }.forEach { merge(receiver, it) }
+        assertEquals(forwarder.digest, receiver.digest)
+    }
+
+    @Test
+    fun `parts that are cleared before their report is complete stay cleared`() {
+        val report = PromptCase("", 400).report()
+        val datagrams = EvidenceCodec.encode(EvidenceMessage.Evidence(EvidenceDelta(listOf(report))), nowMs = 1_400)
+        val receiver = CrashEvidence()
+        datagrams.dropLast(1).forEach { merge(receiver, it) }
+        receiver.merge(EvidenceDelta(clearances = listOf(Clearance(report.crash, report.parts))), 1_400)
+        merge(receiver, datagrams.last())
+        assertEquals(emptyList(), receiver.crashes(1_400).single().suspects)
+    }
+
+    private fun merge(
+        receiver: CrashEvidence,
+        datagram: ByteArray,
+    ) {
+        when (val message = EvidenceCodec.decodeOrNull(datagram, 1_400)) {
+            is EvidenceMessage.Evidence -> receiver.merge(message.delta, 1_400)
+            is EvidenceMessage.Fragment -> receiver.merge(message.value, 1_400)
+            else -> error("the datagram cannot be read: $message")
+        }
+    }
+
+    /** Prompts with very many parts must not use up the memory. */
+    @Test
+    fun `the parts of all reports are bounded, and the newest reports are kept`() {
+        val reports = List(40) { PromptCase("", 4_000).report().copy(id = ReportId("h", 1, it.toLong()), atMs = 1_000L + it) }
+        reports.forEach { evidence.merge(EvidenceDelta(listOf(it)), 2_000) }
+        val kept = evidence.all(2_000).reports
+        assertEquals(reports.takeLast(kept.size).map { it.id }, kept.map { it.id })
+        assertTrue(kept.sumOf { it.partCount } in 60_000..65_536, "${kept.sumOf { it.partCount }} parts")
+    }
+
+    @Test
+    fun `fragments of reports that never become complete are bounded`() {
+        val assembly = ReportAssembly(maxParts = 1_000)
+        val fragments =
+            List(100) { number ->
+                val report = PromptCase("", 200).report().copy(id = ReportId("h", 1, number.toLong()))
+                ReportFragment(report, index = 0, count = 2, firstSuspect = 0)
+            }
+        fragments.forEach { assertNull(assembly.add(it)) }
+        val completed = fragments.filter { assembly.add(ReportFragment(it.report, index = 1, count = 2, firstSuspect = 0)) != null }
+        assertTrue(completed.size <= 5, "${completed.size} reports of 200 parts were kept")
+    }
+
     @TestFactory
     fun `bytes that are no message are rejected without an exception`() =
         (1L..SEEDS).map { seed ->
             DynamicTest.dynamicTest("seed $seed") {
                 val random = Random(seed)
-                val valid =
-                    EvidenceCodec
-                        .encode(
-                            EvidenceMessage.Evidence(EvidenceDelta(listOf(report("h1", 7, 1_000, "a p")))),
-                            1_400,
-                        ).single()
+                val reports = listOf(report("h1", 7, 1_000, "a p"), PromptCase("", 100).report())
+                val datagrams = EvidenceCodec.encode(EvidenceMessage.Evidence(EvidenceDelta(reports)), 1_400)
                 repeat(MUTATIONS) {
+                    val valid = datagrams.random(random)
                     val bytes = valid.copyOf(random.nextInt(1, valid.size + 1))
                     repeat(random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
                     val message = EvidenceCodec.decodeOrNull(bytes, 2_000)
                     if (message is EvidenceMessage.Evidence) CrashEvidence().merge(message.delta, 2_000)
+                    if (message is EvidenceMessage.Fragment) CrashEvidence().merge(message.value, 2_000)
                 }
                 assertNull(EvidenceCodec.decodeOrNull(ByteArray(0), 0))
             }
@@ -161,6 +259,9 @@
         const val SEEDS = 20L
         const val MUTATIONS = 500
 
+        /** What the receive buffer of a datagram holds. */
+        const val MAX_DATAGRAM_BYTES = 2_048
+
         fun partsOf(text: String): Set<PromptPartId> = text.split(' ').mapTo(HashSet(), ::PromptPartId)
 
         fun randomPrompt(random: Random) = List(random.nextInt(1, 4)) { "p${random.nextInt(8)}" }.joinToString(" ")
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashQuarantine.kt
@@ -6,9 +6,11 @@
 import io.monsoonpath.coordination.crash.EvidenceCodec
 import io.monsoonpath.coordination.crash.EvidenceDelta
 import io.monsoonpath.coordination.crash.KnownCrash
+import io.monsoonpath.coordination.crash.ReportFragment
 import io.monsoonpath.coordination.crash.ReportId
 import io.monsoonpath.coordination.crash.ReportedSuspect
 import io.monsoonpath.coordination.gossip.rendezvousRank
+import io.monsoonpath.coordination.message.chunkedBySize
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.choice.FleetView
 import io.monsoonpath.gateway.log.DecisionLog
@@ -104,9 +106,11 @@
         suspects: List<ReportedSuspect>,
     ) {
         val reports =
-            suspects.filter { it.parts.isNotEmpty() }.chunked(EvidenceCodec.MAX_SUSPECTS).map {
-                CrashReport(ReportId(host, incarnation, nextReportNumber++), crash, atMs, it)
-            }
+            suspects
+                .filter { it.parts.isNotEmpty() }
+                .chunked(EvidenceCodec.MAX_SUSPECTS)
+                .flatMap { group -> group.chunkedBySize(MAX_PARTS_OF_REPORT) { it.parts.size } }
+                .map { CrashReport(ReportId(host, incarnation, nextReportNumber++), crash, atMs, it) }
         spread(evidence.merge(EvidenceDelta(reports), clock.nowMs()))
     }
 
@@ -114,8 +118,12 @@
     fun recordAnswer(parts: Set<PromptPartId>) = spread(evidence.recordAnswer(parts, clock.nowMs()))
 
     /** Merges the evidence [delta] of another instance and returns what of it was new. */
-    fun merge(delta: EvidenceDelta): EvidenceDelta {
-        val added = evidence.merge(delta, clock.nowMs())
+    fun merge(delta: EvidenceDelta): EvidenceDelta = refreshAfter(evidence.merge(delta, clock.nowMs()))
+
+    /** Merges a [fragment] of a report of another instance and returns what of it was new. */
+    fun merge(fragment: ReportFragment): EvidenceDelta = refreshAfter(evidence.merge(fragment, clock.nowMs()))
+
+    private fun refreshAfter(added: EvidenceDelta): EvidenceDelta {
         if (!added.isEmpty) scheduleRefresh()
         return added
     }
@@ -169,6 +177,9 @@
     private companion object {
         /** Short compared with the time that a quarantine waits for clearances before it starts. */
         const val REFRESH_DELAY_MS = 50L
+
+        /** Far fewer than are kept, so that one report does not displace all others. */
+        const val MAX_PARTS_OF_REPORT = 8_192
     }
 }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/EvidenceExchange.kt
@@ -3,6 +3,7 @@
 import io.monsoonpath.coordination.crash.EvidenceCodec
 import io.monsoonpath.coordination.crash.EvidenceDelta
 import io.monsoonpath.coordination.crash.EvidenceMessage
+import io.monsoonpath.coordination.message.chunkedBySize
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.crash.CrashQuarantine
 import io.monsoonpath.gateway.crash.EvidenceCatchUp
@@ -64,9 +65,17 @@
         hosts: List<String>,
         message: EvidenceMessage,
     ) {
-        if (hosts.isNotEmpty()) datagrams.send(hosts, EvidenceCodec.encode(message, clock.nowMs()))
+        if (hosts.isNotEmpty()) datagrams.send(hosts, withinLimit(EvidenceCodec.encode(message, clock.nowMs())))
     }
 
+    /** Returns [encoded], or a random part of it if it is too long. The next rounds send other parts, until the receiver has all. */
+    private fun withinLimit(encoded: List<ByteArray>): List<ByteArray> =
+        if (encoded.sumOf { it.size } <= MAX_MESSAGE_BYTES) {
+            encoded
+        } else {
+            encoded.shuffled(random).chunkedBySize(MAX_MESSAGE_BYTES) { it.size }.first()
+        }
+
     private fun receive(
         from: String,
         bytes: ByteArray,
@@ -89,10 +98,13 @@
             quarantine.refresh()
             catchUp.recordReply()
         }
-        is EvidenceMessage.Evidence -> {
-            val added = quarantine.merge(message.delta)
-            if (!added.isEmpty && membership.liveMembers.size > PUBLISH_FANOUT) publish(added) else Unit
-        }
+        is EvidenceMessage.Evidence -> forward(quarantine.merge(message.delta))
+        is EvidenceMessage.Fragment -> forward(quarantine.merge(message.value))
+    }
+
+    /** Sends [added], which was new here, to others of a large fleet. */
+    private fun forward(added: EvidenceDelta) {
+        if (!added.isEmpty && membership.liveMembers.size > PUBLISH_FANOUT) publish(added)
     }
 
     /** Sends all evidence to [host] if its evidence, which has the given [digest], differs. */
@@ -110,5 +122,8 @@
 
         /** The number of instances that receive new evidence directly: all of a small fleet. */
         const val PUBLISH_FANOUT = 12
+
+        /** Fits into the receive buffer of a socket. */
+        const val MAX_MESSAGE_BYTES = 64 * 1024
     }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PieceMessages.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PieceMessages.kt
@@ -1,5 +1,7 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.coordination.message.chunkedBySize
+
 /*
  * A caller may state many pieces, and a long id and key for all of them. Messages about pieces are therefore bounded: they are split, and
  * what the pieces of a request have in common is sent once if it would take much space in each of them.
@@ -59,25 +61,6 @@
 private val PieceReport.estimatedBytes: Int
     get() = FIXED_BYTES + request.length + (handle?.length ?: 0)
 
-/** Splits this list into lists of one or more consecutive elements, of [maxBytes] at most unless a single element is larger. */
-internal fun <T> List<T>.chunkedBySize(
-    maxBytes: Int,
-    bytesOf: (T) -> Int,
-): List<List<T>> {
-    val chunks = ArrayList<ArrayList<T>>()
-    var bytes = 0
-    for (element in this) {
-        val size = bytesOf(element)
-        if (chunks.isEmpty() || bytes + size > maxBytes) {
-            chunks += ArrayList<T>()
-            bytes = 0
-        }
-        chunks.last() += element
-        bytes += size
-    }
-    return chunks
-}
-
 /** Requests with less to repeat are sent as earlier versions of the program know them. */
 private const val MAX_REPEATED_BYTES = 64 * 1024
 
--- a/model/src/main/kotlin/io/monsoonpath/model/Ids.kt
+++ b/model/src/main/kotlin/io/monsoonpath/model/Ids.kt
@@ -1,6 +1,8 @@
 package io.monsoonpath.model
 
 import kotlinx.serialization.Serializable
+import java.security.MessageDigest
+import java.util.HexFormat
 
 /** The name of an entry instance in the platform's instance list, unique across all regions. */
 @JvmInline
@@ -141,6 +143,22 @@
     override fun compareTo(other: PromptPartId): Int = value.compareTo(other.value)
 
     override fun toString(): String = value
+
+    /** Creates ids from what callers send. */
+    companion object {
+        /** The longest id that is kept as it is, in characters. */
+        const val MAX_CHARS = 64
+
+        /** Returns the id [text], or its SHA-256 hash in hexadecimal if it is longer than [MAX_CHARS]: ids are kept and exchanged. */
+        fun of(text: String): PromptPartId =
+            PromptPartId(
+                if (text.length <= MAX_CHARS) {
+                    text
+                } else {
+                    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
+                },
+            )
+    }
 }
 
 /** The number of an attempt within one stage of one request, starting at 1. */
--- a/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
+++ b/policy/src/main/kotlin/io/monsoonpath/policy/crash/CrashAttribution.kt
@@ -134,33 +134,24 @@
         .thenBy { it.parts.min() }
 
 /**
- * Returns the hypothesis for each part that is suspected in several crashes: the combination that always occurs together with it. Equal
- * ones are returned once. Most parts are suspected in one crash only, so the work is small even if each crash has many suspects.
+ * Returns the hypothesis for each part that is suspected in several crashes: the combination that always occurs together with it. It is the
+ * same for parts that occur in the same suspects, so the work is small even if prompts have very many parts.
  */
 private fun hypothesesOf(
     crashes: List<ObservedCrash>,
     limits: CrashAttributionLimits,
 ): List<Hypothesis> {
-    val crashesByPart = HashMap<PromptPartId, MutableList<ObservedCrash>>()
-    for (crash in crashes) {
-        for (part in crash.suspects.flatMapTo(HashSet()) { it.parts }) crashesByPart.getOrPut(part) { ArrayList() } += crash
+    val suspects = crashes.flatMap { crash -> crash.suspects.map { crash to it } }
+    val occurrences = HashMap<PromptPartId, MutableList<Int>>()
+    suspects.forEachIndexed { index, (_, suspect) -> suspect.parts.forEach { occurrences.getOrPut(it) { ArrayList() } += index } }
+    return occurrences.values.distinct().mapNotNull { indexes ->
+        val withPart = indexes.map { suspects[it].first }.distinct()
+        if (withPart.size < 2) return@mapNotNull null
+        val combination = indexes.map { suspects[it].second.parts }.reduce { a, b -> a intersect b }
+        hypothesisOf(combination, withPart, limits)
     }
-    return crashesByPart
-        .filterValues { it.size > 1 }
-        .map { (part, withPart) -> combinationWith(part, withPart) to withPart }
-        .distinctBy { (parts, _) -> parts }
-        .map { (parts, withPart) -> hypothesisOf(parts, withPart, limits) }
 }
 
-private fun combinationWith(
-    part: PromptPartId,
-    crashes: List<ObservedCrash>,
-): Set<PromptPartId> =
-    crashes
-        .flatMap { crash -> crash.suspects.map { it.parts } }
-        .filter { part in it }
-        .reduce { a, b -> a intersect b }
-
 /** Returns the hypothesis that the combination [parts] causes crashes; [crashes] are all that have a suspect with one of the parts. */
 private fun hypothesisOf(
     parts: Set<PromptPartId>,
--- a/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
+++ b/policy/src/test/kotlin/io/monsoonpath/policy/crash/CrashAttributionTest.kt
@@ -3,6 +3,7 @@
 import io.monsoonpath.model.PromptPartId
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.system.measureNanoTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -115,6 +116,26 @@
         assertTrue(trials.mayStart(quarantine, rank = 0, nowMs = 120_001))
     }
 
+    /** Each part that prompts have in common took work that grows with their number, which held up the event loop. */
+    @Test
+    fun `prompts with thousands of parts cost in proportion to their parts`() {
+        fun crashesWith(parts: Int): List<ObservedCrash> {
+            val common = (1..parts).joinToString(" ")
+            return List(10) { crash(1_000L * it, "$common own$it") }
+        }
+
+        fun costNs(
+            parts: Int,
+            rounds: Int,
+        ): Long {
+            val crashes = crashesWith(parts)
+            return measureNanoTime { repeat(rounds) { assertEquals(parts, findQuarantines(crashes).single().parts.size) } }
+        }
+        costNs(parts = 250, rounds = 16)
+        val ratio = List(3) { costNs(parts = 4_000, rounds = 1).toDouble() / costNs(parts = 250, rounds = 16) }.min()
+        assertTrue(ratio < 4, "4,000 parts cost $ratio times as much as 16 times 250")
+    }
+
     private companion object {
         /** Returns a crash with one suspect for each of [prompts], sent half a second before unless [sentAtMs] is given. */
         fun crash(
