Accept only status lines with a known version and a status of three digits

What callers saw: a response that begins with HTTP/1.1 0200 or +200, or with HTTP/1.10 or HTTP/01.1, was passed on as a success with status 200, on plain routes and as a stream. The product's own program took any number for a status, also 000.

Cause: the library parses the status as an integer and compares the version by its numbers.

Ruled out: status 000 on the users' platform (rejected before).

Change: both decoders check the first line as it was received.

--- a/app/src/main/kotlin/io/monsoonpath/app/client/StrictClientCodec.kt
+++ b/app/src/main/kotlin/io/monsoonpath/app/client/StrictClientCodec.kt
@@ -16,7 +16,8 @@
 
 /**
  * The HTTP/1 codec of a client connection that takes a response for malformed if the name of a header is not directly followed by a colon
- * (RFC 9112, section 5.1).
+ * (RFC 9112, section 5.1), or if its status line has another version than 1.0 or 1.1 or a status that is not a number of three digits from
+ * 100 to 599 (section 4).
  *
  * Netty's client codec accepts white space there, and with it any line whose first word is the name of a header: a status line after the
  * beginning of a header is then read as that header, without a trace.
@@ -43,6 +44,13 @@
             return isToHead || super.isContentAlwaysEmpty(message)
         }
 
+        override fun createMessage(initialLine: Array<String>): HttpMessage {
+            val (version, status) = initialLine
+            require(version in VERSIONS) { "the version '$version' is not one of $VERSIONS" }
+            require(STATUS.matches(status)) { "the status '$status' is not a number of three digits from 100 to 599" }
+            return super.createMessage(initialLine)
+        }
+
         override fun splitHeaderName(
             sb: ByteArray,
             start: Int,
@@ -66,5 +74,7 @@
 
     private companion object {
         const val COLON = ':'.code.toByte()
+        val VERSIONS = setOf("HTTP/1.0", "HTTP/1.1")
+        val STATUS = Regex("[1-5][0-9][0-9]")
     }
 }
--- a/app/src/test/kotlin/io/monsoonpath/app/client/StrictClientCodecTest.kt
+++ b/app/src/test/kotlin/io/monsoonpath/app/client/StrictClientCodecTest.kt
@@ -96,6 +96,22 @@
             }
         }
 
+    /** Callers got a response with status 000 as an answer. */
+    @TestFactory
+    fun `a status line that is not valid makes a response malformed`() =
+        listOf("000 None", "099 Low", "600 High", "0200 OK", "+200 OK", "2000 OK", "20 OK", "2x0 OK")
+            .map { "HTTP/1.1 $it" }
+            .plus(listOf("HTTP/1.10 200 OK", "HTTP/2.0 200 OK", "HTTP/01.1 200 OK", "http/1.1 200 OK", "ICY 200 OK"))
+            .map { line ->
+                DynamicTest.dynamicTest(line) {
+                    val response = responseHead(line, lengthOf(BODY)) + BODY
+                    for (split in 0..response.length) {
+                        val text = read(HttpMethod.GET, response, split)
+                        assertTrue("malformed" in text && NEXT_READ !in text, text)
+                    }
+                }
+            }
+
     @TestFactory
     fun `bytes that a replaced codec has not read are read`() =
         (0 until OK.length).map { length ->
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnection.kt
@@ -152,7 +152,6 @@
         active: PendingExchange,
     ) {
         if (isSpliced(response)) return reject(ctx, StrayBytes.SPLICED, response)
-        if (response.status().code() !in VALID_STATUS) return reject(ctx, StrayBytes.MALFORMED, response)
         if (response.status().code() in INFORMATIONAL_STATUS) {
             if (++informationalCount > MAX_INFORMATIONAL) fail(ctx, ExchangeFailure.MALFORMED)
             return
@@ -260,7 +259,6 @@
     }
 
     private companion object {
-        val VALID_STATUS = 100..599
         val INFORMATIONAL_STATUS = 100..199
 
         /** More informational responses, or bytes of other responses, before the expected response show a server without end. */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerResponseDecoder.kt
@@ -26,6 +26,14 @@
     /** Returns whether the body of [response] has no length and ends with the connection. */
     fun endsWithConnection(response: HttpResponse): Boolean = !isFramed(response) && !isContentAlwaysEmpty(response)
 
+    /** Rejects status lines that Netty accepts although they are not valid, such as those with a status of `0200` or `+200`. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        val (version, status) = initialLine
+        require(version in VERSIONS) { "the version '$version' is not one of $VERSIONS" }
+        require(STATUS.matches(status)) { "the status '$status' is not a number of three digits from 100 to 599" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = method() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
     /** Rejects white space before a colon: Netty accepts a status line after the name of a header as such a header without a colon. */
@@ -40,6 +48,8 @@
 
     private companion object {
         const val COLON = ':'.code.toByte()
+        val VERSIONS = setOf("HTTP/1.0", "HTTP/1.1")
+        val STATUS = Regex("[1-5][0-9][0-9]")
         const val MAX_HEADER_BYTES = 32 * 1024
         const val MAX_CHUNK_BYTES = 16 * 1024
     }
