Send the pieces of a lost owner to the next one together and once

Other clients lost their connections there.

Cause: 80,000 pieces kept the batching instance from answering for a second. The other instances took it for unreachable, and sent the pieces of pools without a pace to the next owner one by one, each with its key of 15 kB. 278 of them filled the queue of the new connection, which was closed and opened again, 24 times within one turn of the event loop; the queues of the closed connections were kept until its end. Besides, closing a connection had moved its pieces already, so they were sent twice.

Evidence: paths.changed, then 24 lines batcher.lost with 278 pieces each within 1.4 s, then OutOfMemoryError in the log of the process.

Change: the pieces of all pools are sent together, as those of paced pools were, and only if they have not moved yet. A connection that is closed drops what waits for it. What translates pieces and messages moves to PieceMessages.kt.

Result: LongPieceMessagesTest, "pieces that move to the next owner are sent once, and not at greater length": 60,283,040 bytes before, 501,380 allowed; passes now.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DistributedPieceExecutor.kt
@@ -8,11 +8,9 @@
 import io.monsoonpath.gateway.stage.Piece
 import io.monsoonpath.gateway.stage.PieceExecutor
 import io.monsoonpath.gateway.stage.PieceId
-import io.monsoonpath.gateway.stage.PieceInput
 import io.monsoonpath.gateway.stage.PieceResult
 import io.monsoonpath.gateway.stage.PoolForecast
 import io.monsoonpath.model.ClockMs
-import io.monsoonpath.model.FailureDomain
 import io.monsoonpath.model.PoolId
 import io.monsoonpath.model.RequestId
 
@@ -277,17 +275,14 @@
     /**
      * Sends [lost] pieces to the present owners of their pools.
      *
-     * Closing a connection reassigns its pieces at once, so those of paced pools are skipped if they already have an owner. They are sent
-     * together: if they arrive one by one, the first calls contain one piece each.
+     * Closing a connection reassigns its pieces at once, so those that already have an owner are skipped. The pieces of a pool are sent
+     * together: one by one, each would repeat what it has in common with others, and the first calls would contain one piece each.
      */
-    private fun reassign(lost: List<PendingPiece>) {
-        val (paced, others) = lost.partition { isPaced(it.piece.pool) }
-        others.filter { pending.remove(it.piece.id) != null }.forEach { reassign(it.piece.pool, it.owner, listOf(it)) }
-        paced
+    private fun reassign(lost: List<PendingPiece>) =
+        lost
             .filter { pending.remove(it.piece.id, it) }
             .groupBy { it.piece.pool to it.owner }
             .forEach { (target, pieces) -> reassign(target.first, target.second, pieces) }
-    }
 
     private fun reassign(
         pool: PoolId,
@@ -316,49 +311,4 @@
 
     /** Returns whether the owner fills [pool] by rank. To other pools, messages are sent as instances without ranks know them. */
     private fun isPaced(pool: PoolId) = backlogs.forecastOf(pool) != null
-
-    private fun specOf(
-        piece: Piece,
-        nowMs: Long,
-        isPaced: Boolean,
-    ) = PieceSpec(
-        request = piece.id.request.value,
-        stage = piece.id.stage,
-        segment = piece.id.segment,
-        key = (piece.input as? PieceInput.Key)?.key,
-        inputs = (piece.input as? PieceInput.Results)?.handles,
-        resultBytes = piece.resultBytes,
-        domain = piece.domain?.value,
-        startWithinMs = piece.latestStartMs - nowMs,
-        expiresAfterMs = piece.expiresAtMs - nowMs,
-        rank = if (isPaced) piece.rank else 0,
-        inputsForMs = (piece.inputsUntilMs - nowMs).takeIf { isPaced && piece.inputsUntilMs != Long.MAX_VALUE },
-    )
-
-    private fun pieceOf(
-        spec: PieceSpec,
-        pool: PoolId,
-        nowMs: Long,
-    ) = Piece(
-        id = idOf(spec),
-        pool = pool,
-        input = spec.inputs?.let { PieceInput.Results(it) } ?: PieceInput.Key(spec.key.orEmpty()),
-        resultBytes = spec.resultBytes,
-        domain = spec.domain?.let(::FailureDomain),
-        latestStartMs = nowMs + spec.startWithinMs,
-        expiresAtMs = nowMs + spec.expiresAfterMs,
-        rank = spec.rank,
-        inputsUntilMs = spec.inputsForMs?.let { nowMs + it } ?: Long.MAX_VALUE,
-    )
-
-    private fun idOf(spec: PieceSpec) = PieceId(RequestId(spec.request), spec.stage, spec.segment)
-
-    private fun reportOf(
-        id: PieceId,
-        result: PieceResult,
-    ) = when (result) {
-        is PieceResult.Completed -> PieceReport(id.request.value, id.stage, id.segment, handle = result.handle)
-        PieceResult.Started -> PieceReport(id.request.value, id.stage, id.segment)
-        is PieceResult.Failed -> PieceReport(id.request.value, id.stage, id.segment, failure = result.reason)
-    }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerConnection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerConnection.kt
@@ -74,6 +74,8 @@
 
     fun close() {
         isClosedHere = true
+        queuedFrames.clear()
+        queuedBytes = 0
         channel.close()
     }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PieceMessages.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PieceMessages.kt
@@ -1,6 +1,13 @@
 package io.monsoonpath.gateway.peer
 
 import io.monsoonpath.coordination.message.chunkedBySize
+import io.monsoonpath.gateway.stage.Piece
+import io.monsoonpath.gateway.stage.PieceId
+import io.monsoonpath.gateway.stage.PieceInput
+import io.monsoonpath.gateway.stage.PieceResult
+import io.monsoonpath.model.FailureDomain
+import io.monsoonpath.model.PoolId
+import io.monsoonpath.model.RequestId
 
 /*
  * A caller may state many pieces, and a long id and key for all of them. Messages about pieces are therefore bounded: they are split, and
@@ -52,6 +59,55 @@
     return complete + abbreviated
 }
 
+/** Returns [piece] as it is sent at [nowMs], with its rank and the lifetime of its inputs only if its pool [isPaced]. */
+internal fun specOf(
+    piece: Piece,
+    nowMs: Long,
+    isPaced: Boolean,
+) = PieceSpec(
+    request = piece.id.request.value,
+    stage = piece.id.stage,
+    segment = piece.id.segment,
+    key = (piece.input as? PieceInput.Key)?.key,
+    inputs = (piece.input as? PieceInput.Results)?.handles,
+    resultBytes = piece.resultBytes,
+    domain = piece.domain?.value,
+    startWithinMs = piece.latestStartMs - nowMs,
+    expiresAfterMs = piece.expiresAtMs - nowMs,
+    rank = if (isPaced) piece.rank else 0,
+    inputsForMs = (piece.inputsUntilMs - nowMs).takeIf { isPaced && piece.inputsUntilMs != Long.MAX_VALUE },
+)
+
+/** Returns the piece of [pool] that [spec], received at [nowMs], contains. */
+internal fun pieceOf(
+    spec: PieceSpec,
+    pool: PoolId,
+    nowMs: Long,
+) = Piece(
+    id = idOf(spec),
+    pool = pool,
+    input = spec.inputs?.let { PieceInput.Results(it) } ?: PieceInput.Key(spec.key.orEmpty()),
+    resultBytes = spec.resultBytes,
+    domain = spec.domain?.let(::FailureDomain),
+    latestStartMs = nowMs + spec.startWithinMs,
+    expiresAtMs = nowMs + spec.expiresAfterMs,
+    rank = spec.rank,
+    inputsUntilMs = spec.inputsForMs?.let { nowMs + it } ?: Long.MAX_VALUE,
+)
+
+/** Returns the id of the piece that [spec] contains. */
+internal fun idOf(spec: PieceSpec) = PieceId(RequestId(spec.request), spec.stage, spec.segment)
+
+/** Returns the report that the piece [id] has [result]. */
+internal fun reportOf(
+    id: PieceId,
+    result: PieceResult,
+) = when (result) {
+    is PieceResult.Completed -> PieceReport(id.request.value, id.stage, id.segment, handle = result.handle)
+    PieceResult.Started -> PieceReport(id.request.value, id.stage, id.segment)
+    is PieceResult.Failed -> PieceReport(id.request.value, id.stage, id.segment, failure = result.reason)
+}
+
 private val PieceOrigin.estimatedBytes: Int
     get() = request.length + (key?.length ?: 0) + inputs.orEmpty().sumOf { it.length + STRING_BYTES }
 
--- a/gateway/src/test/kotlin/io/monsoonpath/gateway/peer/LongPieceMessagesTest.kt
+++ b/gateway/src/test/kotlin/io/monsoonpath/gateway/peer/LongPieceMessagesTest.kt
@@ -122,6 +122,22 @@
         assertEquals(emptyList(), results.filter { it is PieceResult.Completed }, "there is no worker")
     }
 
+    /** The pieces of a lost owner were sent one by one, each with the key of all, and twice. */
+    @Test
+    fun `pieces that move to the next owner are sent once, and not at greater length`() {
+        val case = cases.single { it.name == "many requests with long keys" }
+        val former = EmbeddedChannel()
+        val next = EmbeddedChannel()
+        val owners = ChangingOwner("h2")
+        executorOver(mapOf("h2" to former, "h3" to next), owners).execute(case.list()) { _, _ -> }
+        owners.moveTo("h3")
+        val frames = generateSequence { next.readOutbound<ByteBuf>() }.map { ByteBufUtil.getBytes(it) }.toList()
+        assertTrue(frames.sumOf { it.size } <= case.maxBytes, "${frames.sumOf { it.size }} bytes, ${case.maxBytes} allowed")
+        val received = frames.map { decodeCborOrNull<PeerMessage>(it) as PeerMessage.ExecutePieces }.flatMap { it.completePieces }
+        assertEquals(case.list().size, received.size)
+        assertEquals(case.list().map(::specOf).toSet(), received.toSet())
+    }
+
     /** While a peer does not accept the connection, messages wait for it in memory. */
     @Test
     fun `a connection that is not established holds a bounded number of bytes`() {
@@ -141,6 +157,12 @@
     private fun executorOver(
         channel: Channel,
         time: VirtualTimeScheduler = VirtualTimeScheduler(),
+    ) = executorOver(mapOf("h2" to channel), ChangingOwner("h2"), time)
+
+    private fun executorOver(
+        channels: Map<String, Channel>,
+        owners: PoolOwners,
+        time: VirtualTimeScheduler = VirtualTimeScheduler(),
     ): DistributedPieceExecutor {
         val log = DecisionLog(OutputStream.nullOutputStream())
         val directory = BackendDirectory(log)
@@ -151,8 +173,8 @@
             LocalPieceExecutor(ConfigurationHolder(log), directory, gate, loads, NoSender, { time.nowMs }, time, { true }, log, metrics)
         return DistributedPieceExecutor(
             Address("h1", 1),
-            SingleConnection(PeerConnection("h2", channel)),
-            OtherOwner,
+            FixedConnections(channels.mapValues { (host, channel) -> PeerConnection(host, channel) }),
+            owners,
             local,
             Backlogs { time.nowMs },
             { time.nowMs },
@@ -161,25 +183,43 @@
         )
     }
 
-    private class SingleConnection(
-        private val connection: PeerConnection,
+    private class FixedConnections(
+        private val connections: Map<String, PeerConnection>,
     ) : PeerConnections {
-        override fun addListener(listener: PeerListener) = Unit
+        private val listeners = ArrayList<PeerListener>()
 
-        override fun connectionTo(host: String) = connection
+        override fun addListener(listener: PeerListener) {
+            listeners += listener
+        }
+
+        override fun connectionTo(host: String) = connections.getValue(host)
 
-        override fun disconnect(host: String) = Unit
+        override fun disconnect(host: String) {
+            connections.getValue(host).close()
+            listeners.forEach { it.onDisconnect(connections.getValue(host)) }
+        }
     }
 
-    private object OtherOwner : PoolOwners {
-        override val liveHosts = setOf("h1", "h2")
-        override val unreachableHosts = emptySet<String>()
+    private class ChangingOwner(
+        private var host: String,
+    ) : PoolOwners {
+        private val listeners = ArrayList<() -> Unit>()
+        override val liveHosts = setOf("h1", "h2", "h3")
+        override var unreachableHosts = emptySet<String>()
 
-        override fun ownerOf(pool: PoolId) = "h2"
+        override fun ownerOf(pool: PoolId) = host
 
-        override fun onChange(listener: () -> Unit) = Unit
+        override fun onChange(listener: () -> Unit) {
+            listeners += listener
+        }
 
         override fun watchPaths(hosts: () -> Set<String>) = Unit
+
+        fun moveTo(next: String) {
+            unreachableHosts = setOf(host)
+            host = next
+            listeners.forEach { it() }
+        }
     }
 
     private object NoSender : BatchSender {
