--- a/review/rig3/Rig.java
+++ b/review/rig3/Rig.java
@@ -118,8 +118,7 @@
     /** Returns a loopback address at which the given port is free. */
     static String freeHost(int port) {
         for (int i = 0; i < 100; i++) {
-            ThreadLocalRandom random = ThreadLocalRandom.current();
-            String host = "127." + random.nextInt(30, 250) + "." + random.nextInt(1, 250) + "." + random.nextInt(2, 250);
+            String host = "127.0.0." + ThreadLocalRandom.current().nextInt(2, 255);
             try (ServerSocket probe = new ServerSocket()) {
                 probe.bind(new InetSocketAddress(host, port));
                 return host;
