Continue a stream from its copy only if its engine has ended

Cause: RunContinuation took each lost connection for the end of the engine. A reset, a closed channel and an unreadable answer also come from an engine that loses a single answer; nothing asked whether it had ended.

Ruled out: that the copy is used before the loss is known, and that the request is sent again without it. The log of the case has attempt.ended with CUT, then copy.continued, and never backend.crashed.

Change: ServerFates finds out what has become of the engine. It has ended if its address refuses connections while no other connection to it is open, or if a new incarnation has registered; it is out of reach after two seconds of silence and an attempt to connect without a response. A connection that is accepted 100 ms after the loss shows that it runs on. Streams that are lost together share the probes; without evidence within 1.5 s the stream is cut. backend.fate logs the evidence, monsoonpath_run_copies counts source-runs.

The four cases of RunCopyTest that were called a crash reset the connection of an engine that ran on, and expected the stream to continue: that was the fault itself. They crash the engine now, with the same expectations, and three new cases (an answer that is reset, ends early, is spoiled) expect no second run. These three fail on the code before: events 1 to 4 where 1 and 2 are expected. ServerFatesTest has 14 cases of what else gives the same signs.

A stream whose engine runs on is cut now where it was continued before.

--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -13,6 +13,7 @@
 import io.monsoonpath.gateway.crash.CrashDetector
 import io.monsoonpath.gateway.crash.CrashProtection
 import io.monsoonpath.gateway.crash.CrashQuarantine
+import io.monsoonpath.gateway.crash.ServerFates
 import io.monsoonpath.gateway.directory.Address
 import io.monsoonpath.gateway.directory.BackendDirectory
 import io.monsoonpath.gateway.directory.BackendServer
@@ -24,6 +25,7 @@
 import io.monsoonpath.gateway.http.CallerCodec
 import io.monsoonpath.gateway.http.CallerServer
 import io.monsoonpath.gateway.http.ConnectionPoolLimits
+import io.monsoonpath.gateway.http.ProbeResult
 import io.monsoonpath.gateway.log.DecisionLog
 import io.monsoonpath.gateway.metrics.GatewayMetrics
 import io.monsoonpath.gateway.peer.DistributedPieceExecutor
@@ -165,9 +167,10 @@
             scheduler,
             directory,
             log,
-            { server, onResult -> connectionPools.poolFor(server).probe(onResult) },
+            ::probe,
             crashQuarantine::recordCrash,
         )
+    private val serverFates = ServerFates(clock, scheduler, directory, log, connectionPools::isConnected, ::probe)
     private val evidenceExchange =
         EvidenceExchange(
             loop,
@@ -198,7 +201,7 @@
             shutdownAdmission,
             codecs.backend,
             pieceExecutor,
-            CrashProtection(crashDetector, crashQuarantine, evidenceExchange.catchUp, copies),
+            CrashProtection(crashDetector, crashQuarantine, evidenceExchange.catchUp, copies, serverFates),
             log,
             metrics,
             rooms,
@@ -316,6 +319,11 @@
     private fun fleetView(): FleetView? =
         if (membership.isJoined) FleetView(maxInstances(), settings.peerAddress.host, membership.liveMembers.map { it.host }) else null
 
+    private fun probe(
+        server: BackendServer,
+        onResult: (ProbeResult) -> Unit,
+    ) = connectionPools.poolFor(server).probe(onResult)
+
     private fun isSoleBatcher(pool: PoolId) = membership.isOwnershipStable && membership.isCommonOwner(pool.value)
 
     private fun connectionPoolLimits(server: BackendServer): ConnectionPoolLimits {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/crash/CrashProtection.kt
@@ -12,4 +12,5 @@
     val quarantine: CrashQuarantine,
     val catchUp: EvidenceCatchUp,
     val copies: RunCopies,
+    val fates: ServerFates,
 )
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/BackendConnectionPools.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/BackendConnectionPools.kt
@@ -26,6 +26,9 @@
         return pool
     }
 
+    /** Returns whether a connection to the incarnation [server] is open. */
+    fun isConnected(server: BackendServer): Boolean = pools[server.id]?.let { it.isFor(server) && it.pool.isConnected } ?: false
+
     /** Closes idle connections that the backend servers may soon close. */
     fun closeExpired() = pools.values.forEach { it.pool.closeExpired() }
 
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/http/ServerConnectionPool.kt
@@ -71,8 +71,12 @@
     private val idleConnections = ArrayDeque<ServerConnection>()
     private val strayBytes = StrayBytesReporter(address, counters, log)
     private var openCount = 0
+    private val establishedConnections = HashSet<ServerConnection>()
     private var isClosed = false
 
+    /** Whether a connection to the server is open. */
+    val isConnected: Boolean get() = establishedConnections.any { it.isOpen }
+
     /** Changes the limits for new connections. */
     fun setLimits(next: ConnectionPoolLimits) {
         limits = next
@@ -181,8 +185,12 @@
         future.channel().closeFuture().addListener {
             openCount--
             idleConnections.remove(connection)
+            establishedConnections.remove(connection)
+        }
+        future.addListener { _ ->
+            if (future.isSuccess) establishedConnections += connection
+            onDone(future, connection)
         }
-        future.addListener { _ -> onDone(future, connection) }
     }
 
     private fun onConnected(
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/Attempt.kt
@@ -47,12 +47,13 @@
     /**
      * No usable response arrived, and the request may have run.
      *
-     * @property isConnectionLost whether the connection ended within the response, as when the backend server crashes
+     * @property lostAfterSilenceMs how long nothing had been received, in milliseconds, when the connection ended within the response, as
+     * when the backend server crashes; null if the connection did not end
      */
     class MayHaveRun(
         private val relay: ResponseRelay,
         private val canRelayFailure: Boolean,
-        val isConnectionLost: Boolean = false,
+        val lostAfterSilenceMs: Long? = null,
     ) : AttemptResult {
         /** Relays the failure response of the backend server to the caller; returns false if there is none. */
         fun relayFailure(): Boolean {
@@ -118,6 +119,9 @@
     private var isWithheld = false
     private var hasRecordedResponse = false
     private var headAtMs: Long? = null
+
+    /** The time of the last receipt, or of the last time at which received bytes were not read. */
+    private var receivedAtMs = startedAtMs
     private var firstContentAtMs: Long? = null
 
     /** Sends the request; [number] is the number of this attempt, from 1. */
@@ -224,6 +228,7 @@
         if (decoded.status != MISDIRECTED) services.loads.recordReport(server, decoded.load)
         isFramed = isFramed(response)
         headAtMs = services.clock.nowMs()
+        receivedAtMs = services.clock.nowMs()
         // The head of a rejection decides alone; nothing of a rejection is relayed.
         if (decoded.isRejection) return
         isContinuation = relay.hasStarted
@@ -241,6 +246,7 @@
 
     override fun onContent(content: ByteBuf) {
         if (isFinished) return
+        receivedAtMs = services.clock.nowMs()
         if (head?.isRejection == true || isErrorAfterStart()) return ignore(content)
         if (!hasRecordedResponse) handleFirstContent()
         if (services.clock.nowMs() - checkNotNull(firstContentAtMs) >= PROOF_MS) recordProof()
@@ -272,7 +278,10 @@
 
     private fun awaitDrainIfCongested(): Boolean {
         if (!writer.isCongested) return false
-        writer.onDrained { exchange?.setReading(true) }
+        writer.onDrained {
+            receivedAtMs = services.clock.nowMs()
+            exchange?.setReading(true)
+        }
         return true
     }
 
@@ -349,7 +358,8 @@
         detail: String,
         isConnectionLost: Boolean = false,
     ) = end(AttemptOutcome.LOST, detail) {
-        onResult(AttemptResult.MayHaveRun(relay, canRelayFailure = false, isConnectionLost))
+        val silentMs = services.clock.nowMs() - receivedAtMs
+        onResult(AttemptResult.MayHaveRun(relay, canRelayFailure = false, silentMs.takeIf { isConnectionLost }))
     }
 
     private fun end(
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RequestRun.kt
@@ -327,8 +327,17 @@
     }
 
     private fun handleMayHaveRun(result: AttemptResult.MayHaveRun) {
-        val continuing = if (result.isConnectionLost) continuation.startOrNull(relay, resumeAfter()) else null
-        if (continuing != null) return startAttempt(continuing)
+        val silentMs = result.lostAfterSilenceMs ?: return retryOrEnd(result)
+        continuation.start(relay, resumeAfter(), silentMs) { copyHost ->
+            when {
+                isFinished -> Unit
+                copyHost != null -> startAttempt(copyHost)
+                else -> retryOrEnd(result)
+            }
+        }
+    }
+
+    private fun retryOrEnd(result: AttemptResult.MayHaveRun) {
         val isRetryAllowed =
             route.kind.isIdempotent &&
                 relay.canContinue &&
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RunContinuation.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/request/RunContinuation.kt
@@ -8,7 +8,8 @@
  * The copy that another engine keeps of the run of a request, and the continuation of the run from it.
  *
  * It is the same run, so a request that must not be repeated may continue. It continues once, and only after an event was relayed: before
- * the first one, it is not known whether the run has begun.
+ * the first one, it is not known whether the run has begun. The engine before must have ended or be out of reach: an engine that has only
+ * lost the answer works on, and both would run the request.
  */
 internal class RunContinuation(
     private val context: RequestContext,
@@ -16,6 +17,7 @@
 ) {
     private val copies = services.crashes.copies
     private var copy: RunCopy? = null
+    private var source: BackendServer? = null
 
     /** Whether the run continues, or has tried to. */
     var isStarted = false
@@ -26,24 +28,48 @@
         if (isStarted) return AttemptCopy(copyHost = null, isContinuation = true)
         copy?.let(copies::release)
         copy = copies.reserve(context, server)
+        source = server
         return AttemptCopy(copy?.host?.address, isContinuation = false)
     }
 
-    /** Returns the engine on which the stream in [relay] continues after the loss of its engine, or null if it cannot continue. */
-    fun startOrNull(
+    /**
+     * Calls [onDecided] with the engine on which the stream in [relay] continues after the loss of its connection, or null if it cannot
+     * continue: at once, or as soon as the fate of its engine is known.
+     *
+     * @param silentMs how long nothing had been received when the connection was lost
+     */
+    fun start(
         relay: ResponseRelay,
         lastEvent: String?,
-    ): SelectedBackend? {
+        silentMs: Long,
+        onDecided: (SelectedBackend?) -> Unit,
+    ) {
         copies.recordLoss(context.pool)
-        val kept = copy ?: return null
-        val nowMs = services.clock.nowMs()
-        val hasTime = nowMs < context.deadlineAtMs - RequestRun.MIN_REMAINING_MS
+        val lost = source
+        if (lost == null || !isPossible(relay)) return onDecided(null)
+        services.crashes.fates.find(lost, silentMs) { fate ->
+            if (!fate.isOutOfReach) services.metrics.copyDecided(context.pool.value, "source-runs")
+            onDecided(if (fate.isOutOfReach) continueOrNull(relay, lastEvent) else null)
+        }
+    }
+
+    private fun isPossible(relay: ResponseRelay): Boolean {
+        val kept = copy ?: return false
+        val hasTime = services.clock.nowMs() < context.deadlineAtMs - RequestRun.MIN_REMAINING_MS
         val isUsable = !isStarted && relay.hasStarted && relay.canContinue && hasTime && copies.canContinue(kept)
-        if (!isUsable || services.crashes.quarantine.check(context.head.sharedPartIds) != null) return null
+        return isUsable && services.crashes.quarantine.check(context.head.sharedPartIds) == null
+    }
+
+    private fun continueOrNull(
+        relay: ResponseRelay,
+        lastEvent: String?,
+    ): SelectedBackend? {
+        val kept = copy ?: return null
         val budget = services.retries.budgets.of(context.pool)
-        if (!budget.tryAcquire()) return null
+        if (!isPossible(relay) || !budget.tryAcquire()) return null
         isStarted = true
         relay.discard()
+        val nowMs = services.clock.nowMs()
         services.selector.gate.recordSelected(kept.host, nowMs)
         services.log.line("copy.continued", "request" to context.head.id, "copyHost" to kept.host.id, "lastEvent" to lastEvent)
         return SelectedBackend(kept.host, services.loads.of(kept.host), "copy of the run", nowMs)
