Follow a store that comes back from a copy by its era

Cause: revisions counted as an order that never goes back. StoreWatcher dropped the entry of the leaving server because its revision was not above the last one applied, without a line in the log. The same comparison stood in the merging of peers' documents, in gossip's announcements, in the updates and heartbeats of readers, and in removals that wait for an entry.

Ruled out: a watch that hears nothing (the log has store.history-gone and a complete read, and fills in nothing after it) and a change that is delayed as after an outage (it never came into force).

A response of a higher era makes an instance read everything again; one of a lower era is late and fails. Deltas, requests, heartbeats and gossip between instances state the era, but not towards earlier versions of the program, which close a connection over an unknown field.

--- a/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
+++ b/coordination/src/main/kotlin/io/monsoonpath/coordination/gossip/Gossip.kt
@@ -14,7 +14,7 @@
  * @property heartbeat a counter that the running process increments in each round
  * @property isLeaving whether the instance is shutting down and must not own keys
  * @property documentRevisions the newest revision of each topic of shared documents that the member has seen, in an order that is
- * the same on all instances
+ * the same on all instances, then the era of their source
  * @property capacityMillicores the processor time that the member can use, in thousandths of a core; 0 if unknown
  * @property domain the number of the member's failure domain, from 1 to 255; 0 if unknown
  */
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/Gateway.kt
@@ -293,6 +293,7 @@
         val readers = SourceReaders(host, domainNumber(settings.failureDomain.value), timing, Random(host.hashCode()))
         val sync = PeerDocumentSync(host, membership, transport, replica, scheduler, log, Random(settings.incarnation), readers, clock)
         documentSync = sync
+        metrics.gauge("monsoonpath_store_era") { replica.era }
         metrics.gauge("monsoonpath_store_reading") { if (replica.isReading) 1 else 0 }
         metrics.gauge("monsoonpath_store_fresh_readers") { sync.forwardingState.freshReaders }
         metrics.gauge("monsoonpath_store_role_changes") { sync.forwardingState.roleChanges }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/directory/BackendDirectory.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/directory/BackendDirectory.kt
@@ -85,15 +85,6 @@
         byId.values.filter { it.failureDomain == domain }.forEach { server -> listeners.forEach { it(server.id) } }
     }
 
-    /** Replaces the set of failure domains that are out with [domains], as read at [revision]. */
-    fun setDomainsOut(
-        domains: Set<FailureDomain>,
-        revision: Long,
-    ) {
-        (domainsOut - domains).forEach { setDomainOut(it, false, revision) }
-        domains.forEach { setDomainOut(it, true, revision) }
-    }
-
     private fun acceptsWork(server: BackendServer) = server.state == BackendState.READY && server.failureDomain !in domainsOut
 
     private fun notifyChanged(id: BackendId) {
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DocumentForwarding.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DocumentForwarding.kt
@@ -25,6 +25,7 @@
  * @property silentMs the time since the last response, in milliseconds
  * @property failures the largest number of calls in a row for one topic that got no response
  * @property removalDelayMs how long documents that are missing may still come back, in milliseconds
+ * @property era the era of the source, see [DocumentReplica.era]
  */
 @Serializable
 data class SourceContact(
@@ -32,6 +33,7 @@
     val silentMs: Long,
     val failures: Int = 0,
     val removalDelayMs: Long = 0,
+    val era: Long = 0,
 )
 
 /** The revisions of a topic on an instance, as [DocumentReplica] defines them. */
@@ -182,12 +184,13 @@
         val topic = update.delta.topic
         // An instance that reads learns of the change from the source, and merging would interrupt its waiting call.
         if (topic !in replica.topics || replica.isReading) return
-        val completeRevision = replica.completeRevisionOf(topic)
+        if (!update.delta.isNewerThan(replica.era, replica.newestChangeOf(topic), replica.completeRevisionOf(topic))) return
+        // Of an era that is new here, nothing is known yet.
+        val completeRevision = if (update.delta.era > replica.era) -1 else replica.completeRevisionOf(topic)
         if (update.sinceRevision > completeRevision) {
-            peers.requestDocuments(host, topic, completeRevision)
+            peers.requestDocuments(host, topic, replica.completeRevisionOf(topic))
             return
         }
-        if (!update.delta.isNewerThan(replica.newestChangeOf(topic), completeRevision)) return
         receivedUpdates++
         replica.merge(update.delta)
     }
@@ -197,17 +200,20 @@
         host: String,
         heartbeat: SourceHeartbeat,
     ) {
+        // What a reader knows of an earlier era is out of date, however recently the source responded to it.
+        if (heartbeat.contact.era < replica.era) return
         replica.follow(heartbeat.contact)
         if (!heartbeat.contact.isCurrent) return
         val nowMs = clock.nowMs()
-        if (heartbeat.topics.none { isBehind(it, nowMs) }) readers.recordHeartbeat(host, nowMs)
+        val isOfNewEra = heartbeat.contact.era > replica.era
+        if (isOfNewEra || heartbeat.topics.none { isBehind(it, nowMs) }) readers.recordHeartbeat(host, nowMs)
         if (replica.isReading) return
         for (revisions in heartbeat.topics) {
             val topic = revisions.topic
             if (topic !in replica.topics) continue
             val completeRevision = replica.completeRevisionOf(topic)
             val knownRevision = maxOf(completeRevision, replica.newestChangeOf(topic))
-            val isAhead = revisions.newestChange > knownRevision || revisions.completeRevision > completeRevision
+            val isAhead = isOfNewEra || revisions.newestChange > knownRevision || revisions.completeRevision > completeRevision
             if (isAhead) peers.requestDocuments(host, topic, completeRevision)
         }
     }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DocumentRequests.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/DocumentRequests.kt
@@ -7,8 +7,9 @@
  * Requests documents from a peer if the source does not respond to this instance, or if the peer has changes that this instance missed.
  *
  * This covers a source that rejects some instances while keys are withdrawn and backend servers leave, a source that is down while
- * instances restart, and a source that has lost the connection on which it would report a change. Revisions only increase, so the
- * documents of a peer cannot revert newer local ones, and what a peer has shows nothing up to the revision of a complete local copy.
+ * instances restart, and a source that has lost the connection on which it would report a change. Eras, and revisions within an era, only
+ * increase, so the documents of a peer cannot revert newer local ones, and what a peer has shows nothing up to the revision of a complete
+ * local copy of the same era.
  */
 class DocumentRequests(
     private val localHost: String,
@@ -39,10 +40,16 @@
         topic: String,
     ): String? =
         peers.liveMembers
-            .maxByOrNull { it.documentRevisions.getOrElse(index) { -1 } }
-            ?.takeIf { it.documentRevisions.getOrElse(index) { -1 } > knownRevisionOf(topic) }
+            .maxWithOrNull(compareBy({ it.eraOf(replica) }, { it.documentRevisions.getOrElse(index) { -1 } }))
+            ?.takeIf { isAhead(it.eraOf(replica), it.documentRevisions.getOrElse(index) { -1 }, topic) }
             ?.host
 
+    private fun isAhead(
+        era: Long,
+        revision: Long,
+        topic: String,
+    ): Boolean = if (era == replica.era) revision > knownRevisionOf(topic) else era > replica.era
+
     /** Returns the newest revision up to which this copy of [topic] shows changes or their absence. */
     private fun knownRevisionOf(topic: String): Long = maxOf(replica.newestChangeOf(topic), replica.completeRevisionOf(topic))
 
@@ -52,11 +59,20 @@
             .filter { it != localHost }
             .randomOrNull(random)
 
-    /** Returns the documents of [topic] that changed after [revision], or null if there are none. */
+    /**
+     * Returns the documents of [topic] that changed after [revision] of [era], all documents if the era is over, or null if there are none.
+     *
+     * @param era the era of the peer, or null if it knows no eras
+     */
     fun replyTo(
         topic: String,
         revision: Long,
-    ): DocumentDelta? = if (topic !in replica.topics || knownRevisionOf(topic) <= revision) null else replica.deltaSince(topic, revision)
+        era: Long?,
+    ): DocumentDelta? {
+        if (topic !in replica.topics || (era ?: 0) > replica.era) return null
+        val since = if (era == null || era == replica.era) revision else -1
+        return if (knownRevisionOf(topic) <= since) null else replica.deltaSince(topic, since)
+    }
 
     /** Merges the documents that the peer at [host] sent on request. */
     fun receive(
@@ -64,13 +80,14 @@
         delta: DocumentDelta,
     ) {
         if (delta.topic !in replica.topics) return
-        if (!delta.isNewerThan(replica.newestChangeOf(delta.topic), replica.completeRevisionOf(delta.topic))) return
+        if (!delta.isNewerThan(replica.era, replica.newestChangeOf(delta.topic), replica.completeRevisionOf(delta.topic))) return
         log.line(
             "documents.from-peer",
             "peer" to host,
             "topic" to delta.topic,
             "before" to knownRevisionOf(delta.topic),
             "revision" to maxOf(delta.newestChange, delta.completeRevision),
+            "era" to delta.era,
             "changed" to delta.changed.size,
             "overdueMs" to replica.overdueMs(delta.topic),
         )
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerDocumentSync.kt
@@ -1,5 +1,6 @@
 package io.monsoonpath.gateway.peer
 
+import io.monsoonpath.coordination.gossip.MemberDigest
 import io.monsoonpath.coordination.readers.SourceReaders
 import io.monsoonpath.gateway.Scheduler
 import io.monsoonpath.gateway.log.DecisionLog
@@ -24,6 +25,7 @@
  * @property changed the documents that the receiver does not have in their newest revision
  * @property completeRevision the revision of the source up to which no document and no removal is missing
  * @property removalDelayMs how long documents that are missing at the sender may still come back, in milliseconds
+ * @property era the era of the source in which all these revisions were given out, see [DocumentReplica.era]
  */
 @Serializable
 data class DocumentDelta(
@@ -34,12 +36,21 @@
     val changed: List<SharedDocument>,
     val completeRevision: Long = newestChange,
     val removalDelayMs: Long = 0,
+    val era: Long = 0,
 ) {
-    /** Returns whether this may show more than a copy of the topic with the given revisions. */
+    /** Whether this holds all documents, so that it does not rest on what the receiver has. */
+    val isComplete: Boolean get() = changed.size >= keys.size
+
+    /** Returns whether this may show more than a copy of the topic with the given revisions of [era]. */
     fun isNewerThan(
+        era: Long,
         newestChange: Long,
         completeRevision: Long,
-    ): Boolean = this.newestChange > maxOf(newestChange, completeRevision) || this.completeRevision > completeRevision
+    ): Boolean =
+        when {
+            this.era != era -> this.era > era
+            else -> this.newestChange > maxOf(newestChange, completeRevision) || this.completeRevision > completeRevision
+        }
 }
 
 /** The local copy of the documents that an instance watches at their source, by topic. */
@@ -47,6 +58,13 @@
     /** The watched topics. */
     val topics: List<String>
 
+    /**
+     * The era of the source, which rises each time that the source has lost what it had accepted last; 0 if it is not known.
+     *
+     * A revision says nothing about an earlier or later era. All revisions of this copy are of this era.
+     */
+    val era: Long
+
     /** Returns the revision up to which [topic] has been read, or -1 before the first read. */
     fun revisionOf(topic: String): Long
 
@@ -87,6 +105,15 @@
     fun follow(contact: SourceContact)
 }
 
+/** Returns what an instance announces of its documents: the newest change of each topic, then the era of the source. */
+fun announcementOf(replica: DocumentReplica): List<Long> = replica.topics.map(replica::newestChangeOf) + replica.era
+
+/** Whether this member announces the era of its source, as earlier versions of the program do not. */
+internal fun MemberDigest.knowsEras(replica: DocumentReplica): Boolean = documentRevisions.size > replica.topics.size
+
+/** The era that this member announces, or 0 if it announces none. */
+internal fun MemberDigest.eraOf(replica: DocumentReplica): Long = documentRevisions.getOrElse(replica.topics.size) { 0 }
+
 /**
  * Uses the peers as a second source of documents, see [DocumentRequests], or in large fleets as the first one, see [DocumentForwarding].
  * Must be used on the event loop only.
@@ -113,7 +140,7 @@
     /** Starts to compare revisions with the peers, and to decide whether this instance reads the source. */
     fun start() {
         scheduler.scheduleRepeatedly(DocumentRequests.ROUND_INTERVAL_MS) {
-            membership.announceDocuments(replica.topics.map(replica::newestChangeOf))
+            membership.announceDocuments(announcementOf(replica))
             requests.runRound()
         }
         scheduler.scheduleRepeatedly(DocumentForwarding.ROUND_INTERVAL_MS, forwarding::runRound)
@@ -131,7 +158,9 @@
     ) {
         when (message) {
             is PeerMessage.RequestDocuments ->
-                requests.replyTo(message.topic, message.revision)?.let { send(from, it.topic, PeerMessage.SendDocuments(it)) }
+                requests.replyTo(message.topic, message.revision, message.era.takeIf { knowsEras(from.host) })?.let {
+                    send(from, it.topic, PeerMessage.SendDocuments(forHost(from.host, it)))
+                }
             is PeerMessage.SendDocuments -> requests.receive(from.host, message.documents)
             is PeerMessage.ForwardDocuments -> forwarding.receive(from.host, message.update)
             is PeerMessage.ReportSource -> forwarding.receive(from.host, message.heartbeat)
@@ -150,19 +179,33 @@
         if (!receiver.send(message)) log.line("peer.message-too-long", "peer" to receiver.host, "topic" to topic)
     }
 
+    /** Whether the program at [host] knows eras. An earlier one closes the connection over a message that states one. */
+    private fun knowsEras(host: String): Boolean = membership.liveMembers.any { it.host == host && it.knowsEras(replica) }
+
+    private fun forHost(
+        host: String,
+        delta: DocumentDelta,
+    ): DocumentDelta = if (knowsEras(host)) delta else delta.copy(era = 0)
+
     private inner class PeersOverTransport : DocumentPeers {
         override val liveMembers get() = membership.liveMembers
 
         override fun send(
             host: String,
             update: DocumentUpdate,
-        ) = send(transport.connectionTo(host), update.delta.topic, PeerMessage.ForwardDocuments(update))
+        ) = send(
+            transport.connectionTo(host),
+            update.delta.topic,
+            PeerMessage.ForwardDocuments(update.copy(delta = forHost(host, update.delta))),
+        )
 
         override fun send(
             host: String,
             heartbeat: SourceHeartbeat,
         ) {
-            transport.connectionTo(host).send(PeerMessage.ReportSource(heartbeat))
+            val contact = heartbeat.contact
+            val sent = if (knowsEras(host)) heartbeat else heartbeat.copy(contact = contact.copy(era = 0))
+            transport.connectionTo(host).send(PeerMessage.ReportSource(sent))
         }
 
         override fun requestDocuments(
@@ -170,7 +213,8 @@
             topic: String,
             sinceRevision: Long,
         ) {
-            transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, sinceRevision))
+            val era = if (knowsEras(host)) replica.era else 0
+            transport.connectionTo(host).send(PeerMessage.RequestDocuments(topic, sinceRevision, era))
         }
     }
 }
--- a/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/monsoonpath/gateway/peer/PeerMessage.kt
@@ -25,12 +25,13 @@
             get() = origin?.let { pieces.map { piece -> piece.copy(request = it.request, key = it.key, inputs = it.inputs) } } ?: pieces
     }
 
-    /** Requests the documents of a topic that changed after a revision. */
+    /** Requests the documents of a topic that changed after a revision of an era of the source, which is 0 if it is not known. */
     @Serializable
     @SerialName("ask")
     data class RequestDocuments(
         val topic: String,
         val revision: Long,
+        val era: Long = 0,
     ) : PeerMessage
 
     /** Contains the sender's state of a topic. */
