--- a/soak/src/test/kotlin/io/monsoonpath/soak/FaultSchedule.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/FaultSchedule.kt
@@ -53,6 +53,12 @@
 
     /** Compacts the store, which discards its history of changes. */
     data object CompactStore : Fault
+
+    /** Takes the store away for [awayMs] milliseconds and lets it come back from a copy made [ageMs] milliseconds before. */
+    data class RestoreStore(
+        val ageMs: Long,
+        val awayMs: Long,
+    ) : Fault
 }
 
 /** A fault that begins [atMs] milliseconds after the start of the traffic. */
@@ -75,9 +81,8 @@
 
     /** The faults, ordered by their start. They may overlap. */
     val faults: List<ScheduledFault> =
-        List(FAULT_COUNT) {
-            ScheduledFault(random.nextLong(FAULT_WINDOW_MS), randomFault())
-        }.sortedBy { it.atMs }
+        (List(FAULT_COUNT) { ScheduledFault(random.nextLong(FAULT_WINDOW_MS), randomFault()) } + restoration(Random(seed)))
+            .sortedBy { it.atMs }
 
     /** The time at which the last fault has ended. */
     val lastFaultEndMs: Long get() = (faultSpans.map { it.last } + FAULT_WINDOW_MS).max()
@@ -142,6 +147,7 @@
                 is Fault.StoreConnection -> fault.durationMs
                 is Fault.WorkerConnection -> fault.durationMs
                 is Fault.ResetWorkerConnections -> 0
+                is Fault.RestoreStore -> fault.awayMs + REWRITE_MS
                 is Fault.Stop, is Fault.Reload, Fault.ReplaceWorker, Fault.WithdrawKey, Fault.CompactStore -> return null
             }
         return scheduled.atMs..scheduled.atMs + lengthMs
@@ -161,6 +167,11 @@
             else -> Fault.CompactStore
         }
 
+    private fun restoration(random: Random): ScheduledFault {
+        val ageMs = random.nextLong(500, MAX_COPY_AGE_MS)
+        return ScheduledFault(random.nextLong(ageMs, FAULT_WINDOW_MS), Fault.RestoreStore(ageMs, random.nextLong(200, 1_500)))
+    }
+
     private fun randomInstance() = random.nextInt(instances)
 
     /** The API keys of the callers, the number of faults and their time spans. */
@@ -170,6 +181,10 @@
 
         /** How long an instance must have been undisturbed to be bound by what the others have learned, in milliseconds. */
         const val IN_TOUCH_MS = 3_000L
+
+        /** The time within which workers and operators write again what the store has lost, in milliseconds. */
+        const val REWRITE_MS = 1_900L
+        private const val MAX_COPY_AGE_MS = 5_000L
         private const val FAULT_COUNT = 10
         private const val FAULT_KIND_SLOTS = 12
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakRun.kt
@@ -3,7 +3,9 @@
 import io.monsoonpath.platform.FakeStore
 import io.monsoonpath.platform.GatewayHarness
 import io.monsoonpath.platform.StoreContents
+import io.monsoonpath.platform.StoreMode
 import java.io.File
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -30,7 +32,7 @@
     private val folder: File,
 ) : AutoCloseable {
     private val startNs = System.nanoTime()
-    private val storeContents = StoreContents()
+    private val storeContents = StoreContents().also { it.era = 1 }
     private val store = FakeStore(storeContents)
     private val workers = SoakWorkers(seed, storeContents, ::nowMs, ::scheduleAfter)
     private val schedule = FaultSchedule(seed, INSTANCES, WORKERS)
@@ -44,9 +46,11 @@
         hosts.mapIndexed { i, host -> EntryProcess("entry-$i", host, ports, hosts, storeProxies[i].port, folder) }
     private val logs by lazy { instances.map { it.logFile.readText() } }
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
+    private val storeCopies = ConcurrentHashMap<Fault.RestoreStore, StoreContents.Copy>()
     private val recordedFailures = ArrayList<String>()
     private val nextId = AtomicLong()
     private var version = 1L
+    private var configuration = ""
 
     @Volatile
     private var trafficStartMs = 0L
@@ -69,6 +73,9 @@
         trafficStartMs = elapsedMs()
         val callers = List(CALLERS) { thread(isDaemon = true) { recordingFailure { runCaller(Random(seed * CALLERS + it)) } } }
         schedule.faults.forEach { scheduler.schedule({ recordingFailure { inject(it.fault) } }, it.atMs, TimeUnit.MILLISECONDS) }
+        schedule.faults.forEach { (atMs, fault) ->
+            if (fault is Fault.RestoreStore) scheduleAfter(atMs - fault.ageMs) { storeCopies[fault] = storeContents.copy() }
+        }
         notices.forEach { scheduler.schedule({ recordingFailure { begin(it) } }, it.atMs, TimeUnit.MILLISECONDS) }
         sleepUntil(schedule.lastFaultEndMs + RECOVERY_MS)
         val fromMs = nowMs()
@@ -120,9 +127,24 @@
                 schedule.recordWithdrawal(nowMs())
             }
             Fault.CompactStore -> storeContents.compact()
+            is Fault.RestoreStore -> restoreStore(fault)
+        }
+    }
+
+    private fun restoreStore(fault: Fault.RestoreStore) {
+        store.mode = StoreMode.UNAVAILABLE
+        scheduleAfter(fault.awayMs) {
+            val lost = storeContents.restore(storeCopies.getValue(fault))
+            store.mode = StoreMode.AVAILABLE
+            val random = Random(seed)
+            lost.keys.forEach { key -> scheduleAfter(random.nextLong(FaultSchedule.REWRITE_MS)) { writeAgain(key) } }
         }
     }
 
+    @Synchronized
+    private fun writeAgain(key: String) =
+        if (key == CONFIGURATION_KEY) storeContents.put(key, configuration) else workers.writeAgain(key.removePrefix("servers/"))
+
     /** Runs [action] on the instance with the index [number]. Faults that end the process of the same instance run one after another. */
     private fun onInstance(
         number: Int,
@@ -209,7 +231,8 @@
     @Synchronized
     private fun publishConfiguration(keys: List<String>) {
         val text = GatewayHarness.CONFIGURATION.replace("\"version\":1", "\"version\":${version++}")
-        storeContents.put("op/config", text.replace("[\"secret\"]", keys.joinToString(",", "[", "]") { "\"$it\"" }))
+        configuration = text.replace("[\"secret\"]", keys.joinToString(",", "[", "]") { "\"$it\"" })
+        storeContents.put(CONFIGURATION_KEY, configuration)
     }
 
     private fun runCaller(random: Random) {
@@ -290,6 +313,7 @@
     private companion object {
         /** The number of processes; `-Dmonsoonpath.soak.instances` sets another. */
         val INSTANCES = Integer.getInteger("monsoonpath.soak.instances", 3)
+        const val CONFIGURATION_KEY = "op/config"
         const val WORKERS = 4
         const val CALLERS = 12
 
--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakWorkers.kt
@@ -67,6 +67,7 @@
 
     private val workers = java.util.Collections.synchronizedMap(LinkedHashMap<String, Worker>())
     private val startedCount = AtomicInteger()
+    private val writes = AtomicInteger()
     private val lateCopyCounts = ConcurrentHashMap<CopyKind, Int>()
     private val drainingIds = HashSet<String>()
 
@@ -98,7 +99,7 @@
         val server = FakeWorker { request, number -> actionFor(id, request, number, copies) }
         val proxy = Proxy(server.port)
         workers[id] = Worker(server, proxy)
-        register(id, "ready", sequence = 1)
+        register(id)
     }
 
     /**
@@ -117,7 +118,7 @@
     fun drain(id: String): Boolean =
         synchronized(workers) {
             val isFirst = id in workers && drainingIds.add(id)
-            if (isFirst) register(id, "draining", sequence = 2)
+            if (isFirst) register(id)
             isFirst
         }
 
@@ -129,15 +130,18 @@
         }
     }
 
-    private fun register(
-        id: String,
-        state: String,
-        sequence: Int,
-    ) = store.put(
-        "servers/$id",
-        """{"service":"plain","address":"127.0.0.1:${workers.getValue(id).proxy.port}","zone":"z","version":"1","slots":16,""" +
-            """"state":"$state","cold_remaining_ms":0,"sequence":$sequence,"born":1}""",
-    )
+    /** Writes the state of the worker with [id] to the store again, which has lost it. */
+    fun writeAgain(id: String) = synchronized(workers) { if (id in workers) register(id) else store.put("servers/$id", null) }
+
+    private fun register(id: String) =
+        synchronized(workers) {
+            val state = if (id in drainingIds) "draining" else "ready"
+            store.put(
+                "servers/$id",
+                """{"service":"plain","address":"127.0.0.1:${workers.getValue(id).proxy.port}","zone":"z","version":"1","slots":16,""" +
+                    """"state":"$state","cold_remaining_ms":0,"sequence":${writes.incrementAndGet()},"born":1}""",
+            )
+        }
 
     private fun actionFor(
         worker: String,
