--- a/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/io/monsoonpath/soak/SoakTest.kt
@@ -45,8 +45,11 @@
     }
 
     private companion object {
-        /** A short list, with the seeds that failed: 9, 13 and 16 sent SIGHUP to a process that was starting, which ended it. */
-        val SEEDS = listOf(1L, 9L, 13L, 16L)
+        /**
+         * A short list, with the seeds that failed: 9, 13 and 16 sent SIGHUP to a process that was starting, which ended it. 309 serves
+         * too few requests after the store has come back from a copy if its eras are ignored.
+         */
+        val SEEDS = listOf(1L, 9L, 13L, 16L, 309L)
         const val MAX_SHOWN_VIOLATIONS = 5
         const val MIN_REQUESTS = 200
 
